--- /dev/null
+++ b/gingerspar/controller.py
@@ -0,0 +1,371 @@
+"""Puts one controller together and runs it."""
+
+import asyncio
+import logging
+from collections import deque
+from datetime import timedelta
+
+import msgspec
+from tornado.httputil import HTTPServerRequest
+
+from gingerspar.coordination.claims import Claims
+from gingerspar.coordination.cloud import Cloud, CloudTrouble, NoCapacity
+from gingerspar.coordination.command import CommandPost
+from gingerspar.coordination.dispatcher import Dispatcher
+from gingerspar.coordination.frontdoor import FrontDoor, problem
+from gingerspar.coordination.reconciler import Reconciler
+from gingerspar.coordination.session import Session
+from gingerspar.coordination.term import Knowledge, PeerNews, TermState, authority_span, reason_to_raise
+from gingerspar.protocol import messages, names, peers
+from gingerspar.protocol.messages import KeyVersion, MachineType, Malformed, Put, Report, Steer, Transaction
+from gingerspar.protocol.settings import OperatorSettings, Settings
+from gingerspar.storage import records
+from gingerspar.storage.budgets import Urgency
+from gingerspar.storage.client import Conflict, LeaseGone, StateClient, Unavailable, Unknown
+from gingerspar.storage.records import JobRecord, TermRecord
+from gingerspar.storage.view import Phase, WatchedView
+from gingerspar.transport.clock import Clock
+from gingerspar.transport.peerlink import PeerLink
+from gingerspar.transport.server import Answer, Server
+
+log = logging.getLogger(__name__)
+
+HEARTBEAT = timedelta(milliseconds=400)
+COUNTS = timedelta(seconds=1)
+TERM_CHECK = timedelta(milliseconds=100)
+RECENT = timedelta(seconds=3)  # a worker's report counts as recent for so long
+CATALOG_INTERVAL = timedelta(seconds=20)
+LINK_SILENT = timedelta(seconds=1.5)
+
+
+class Controller:
+    """One node."""
+
+    def __init__(self, settings: Settings, operator: OperatorSettings, clock: Clock | None = None) -> None:
+        facts = settings.facts
+        self._settings = settings
+        self._facts = facts
+        self._operator = operator
+        self._clock = clock or Clock()
+        self._node = settings.node
+        teams = {team.name: team for team in facts.teams}
+        self._client = StateClient(
+            settings.services.state,
+            self._clock,
+            rps=facts.state.rps,
+            write_rps=facts.state.write_rps,
+            txn_ops=facts.state.txn_ops,
+            value_bytes=int(facts.state.value_kb * 1024),
+            nodes=facts.size,
+        )
+        self._view = WatchedView(self._client, self._clock, rps=facts.state.rps, nodes=facts.size)
+        self._session = Session(self._node, self._client, self._view, self._clock, operator.session_ttl)
+        self._claims = Claims(self._node, self._client, self._view, self._session, self._clock, teams, operator)
+        self._door = FrontDoor(self._client, self._view, self._claims, self._clock, teams)
+        self._reconciler = Reconciler(self._client, self._view, self._session, self._dispatching, operator.sweep_batch)
+        self._cloud = Cloud(settings.services.cloud, self._clock, facts.cloud.rps)
+        self._link = PeerLink({peer.node: peer.address for peer in settings.peers}, self._hear)
+        self._server = Server(self._handle)
+        self._span = authority_span(facts.workers)
+        self._post: CommandPost | None = None
+        self._term_state = TermState.FOLLOWING
+        self._types: list[MachineType] = []
+        self._news: dict[str, PeerNews] = {}
+        self._visits: deque[tuple[timedelta, str]] = deque()
+        self._counts: dict[str, int] = {}
+        self._started = self._clock.now()
+        self._term_seen = self._started
+        self._resigned: int = 0
+        self._view.on_term.append(self._term_changed)
+        self._claims.reachable = self._dispatcher_reachable
+        self._claims.dispatching = self._dispatching
+        self._claims.hand_over = self._hand_over
+        self._door.types = lambda: {kind.name: kind for kind in self._types}
+        self._door.running_counts = self._running_counts
+        self._door.peer_has_state = self._peer_has_state
+
+    # -- life -----------------------------------------------------------------
+
+    async def run(self) -> None:
+        host, port = self._settings.listen.rsplit(":", 1)
+        peer_host, peer_port = self._settings.peer_listen.rsplit(":", 1)
+        self._server.listen(int(port), host)
+        loops = [
+            self._view.follow(),
+            self._session.keep(),
+            self._claims.run_claims(),
+            self._claims.run_results(),
+            self._door.run_submissions(),
+            self._reconciler.run(),
+            self._keep_term(),
+            self._beat(),
+            self._keep_catalog(),
+        ]
+        tasks = self._link.start(int(peer_port), peer_host)
+        tasks += [asyncio.ensure_future(self._forever(loop)) for loop in loops]
+        log.info("controller %s listens on %s", self._node, self._settings.listen)
+        await asyncio.gather(*tasks)
+
+    async def _forever(self, loop: "asyncio._CoroutineLike[None]") -> None:
+        """A loop that ends by an error would leave a node that only seems alive."""
+        try:
+            await loop
+        except asyncio.CancelledError:
+            raise
+        except BaseException:
+            log.exception("a loop failed")
+            raise
+
+    # -- HTTP -----------------------------------------------------------------
+
+    async def _handle(self, request: HTTPServerRequest) -> Answer:
+        path, method = request.path, request.method
+        if path == names.PATH_REPORT and method == "POST":
+            return await self._report(request)
+        if path == names.PATH_UP and method == "GET":
+            return self._door.health()
+        if path == names.PATH_JOBS:
+            return await self._door.submit(request) if method == "POST" else problem(405, "use POST")
+        if path.startswith(names.PATH_JOBS + "/"):
+            rest = path[len(names.PATH_JOBS) + 1 :]
+            if method == "GET":
+                return await self._door.ask(rest)
+            if method == "POST" and rest.endswith(names.PATH_ABORT):
+                return await self._door.cancel(rest[: -len(names.PATH_ABORT)])
+            return problem(405, "use GET, or POST to cancel")
+        return problem(404, "no such path")
+
+    async def _report(self, request: HTTPServerRequest) -> Answer:
+        try:
+            report = messages.decode(Report, request.body)
+        except Malformed as error:
+            return problem(400, str(error))
+        now = self._clock.now()
+        self._visits.append((now, report.machine))
+        if self._post is not None and self._authority():
+            return await self._post.report(request, report)
+        term = self._view.term
+        if term is None or self._post is not None:
+            return problem(503, "not entitled")
+        holder = term[0].holder
+        if holder == self._node or not self._peer_heard(holder):
+            return Answer(421, messages.encode(Steer()))
+        return Answer(421, messages.encode(Steer(holder)))
+
+    # -- term -----------------------------------------------------------------
+
+    def _authority(self) -> bool:
+        """May this node answer workers now?"""
+        post, term = self._post, self._view.term
+        if post is None or term is None or term[0].term != post.dispatcher.term:
+            return False
+        return self._view.age() <= self._span
+
+    def _dispatching(self) -> bool:
+        return self._post is not None and self._authority()
+
+    def _term_changed(self) -> None:
+        self._term_seen = self._clock.now()
+        term = self._view.term
+        post = self._post
+        if post is not None and term is not None and term[0].term > post.dispatcher.term:
+            self._move_term(TermState.FOLLOWING)
+            self._post = None
+            post.stop()
+        if self._post is None:
+            self._counts = {}
+
+    def _move_term(self, state: TermState) -> None:
+        """The only place where this node's part in the term changes."""
+        log.info("term: %s -> %s", self._term_state.value, state.value)
+        self._term_state = state
+
+    def _recent_workers(self) -> int:
+        now = self._clock.now()
+        while self._visits and now - self._visits[0][0] > RECENT:
+            self._visits.popleft()
+        return len({machine for _, machine in self._visits})
+
+    def _knowledge(self) -> Knowledge:
+        term = self._view.term
+        record = term[0] if term is not None else None
+        holder = record.holder if record is not None else None
+        return Knowledge(
+            now=self._clock.now(),
+            node=self._node,
+            state_age=self._view.age(),
+            session_open=self._session.claimant is not None,
+            term=record.term if record is not None else 0,
+            holder=holder,
+            holder_session_alive=record is not None and self._view.nodes.get(record.holder) == record.session,
+            holder_is_this_process=self._post is not None,
+            workers=self._recent_workers(),
+            term_seen=self._term_seen,
+            started=self._started,
+            live_nodes=list(self._view.nodes),
+            peers=self._news,
+            link_up=holder in self._news and holder is not None and self._link.up(holder),
+        )
+
+    async def _keep_term(self) -> None:
+        while True:
+            await asyncio.sleep(TERM_CHECK.total_seconds())
+            if self._view.phase is not Phase.FOLLOWING:
+                continue
+            why = reason_to_raise(self._knowledge())
+            if why is not None:
+                await self._raise_term(why)
+
+    async def _raise_term(self, why: str) -> None:
+        claimant = self._session.claimant
+        if claimant is None or not await self._view.barrier(timedelta(seconds=1)):
+            return
+        known = self._view.term
+        why_now = reason_to_raise(self._knowledge())
+        if why_now is None or self._session.claimant != claimant:
+            return
+        number = (known[0].term if known is not None else 0) + 1
+        record = TermRecord(number, self._node, claimant.session)
+        put = Put(records.TERM, records.pack(record))
+        condition = KeyVersion(records.TERM, known[1] if known is not None else 0)
+        self._move_term(TermState.RAISING)
+        try:
+            version = await self._client.commit(
+                Transaction([condition, self._session.condition()], [put]), Urgency.SESSION
+            )
+        except (Conflict, LeaseGone, Unavailable, Unknown) as error:
+            log.info("term %d not raised: %r", number, error)
+            self._move_term(TermState.FOLLOWING)
+            await self._view.barrier(timedelta(seconds=1))
+            return
+        log.info("term %d raised: %s", number, why)
+        raised = self._clock.now()
+        # The roster as it was when the term changed, or later: nothing is missing from it.
+        if not await self._view.barrier(timedelta(seconds=2)) or self._view.term is None:
+            self._move_term(TermState.FOLLOWING)
+            return
+        if self._view.term[1] != version:
+            self._move_term(TermState.FOLLOWING)
+            return
+        roster = [(name, entry.type, entry.zone, entry.spot) for name, (entry, _) in self._view.roster.items()]
+        dispatcher = Dispatcher(number, raised, self._facts.workers, self._facts.teams, roster=roster)
+        self._post = CommandPost(
+            self._node,
+            dispatcher,
+            self._client,
+            self._view,
+            self._session,
+            self._cloud,
+            self._clock,
+            self._facts,
+            self._operator,
+            self._authority,
+            self._tell_finished,
+            self._ask_reclaim,
+        )
+        self._move_term(TermState.HOLDING)
+        self._post.start(self._types)
+
+    # -- peers ----------------------------------------------------------------
+
+    def _peer_heard(self, node: str) -> bool:
+        news = self._news.get(node)
+        return news is not None and self._clock.now() - news.heard <= LINK_SILENT
+
+    def _peer_has_state(self) -> bool:
+        return any(
+            self._peer_heard(node) and news.state_age < timedelta(seconds=1.5) for node, news in self._news.items()
+        )
+
+    def _dispatcher_reachable(self) -> bool:
+        term = self._view.term
+        if term is None:
+            return False
+        if self._post is not None:
+            return True
+        holder = term[0].holder
+        return holder != self._node and self._link.up(holder) and self._peer_heard(holder)
+
+    async def _beat(self) -> None:
+        counted = self._clock.now()
+        while True:
+            self._link.broadcast(
+                peers.pack(
+                    peers.Heartbeat(
+                        self._node,
+                        self._view.term[0].term if self._view.term is not None else 0,
+                        self._dispatching(),
+                        min(self._view.age().total_seconds(), 1e6),
+                        self._recent_workers(),
+                    )
+                )
+            )
+            now = self._clock.now()
+            if self._post is not None and now - counted >= COUNTS:
+                counted = now
+                self._link.broadcast(
+                    peers.pack(
+                        peers.Counts(self._node, self._post.dispatcher.term, self._post.dispatcher.running_counts())
+                    )
+                )
+            await asyncio.sleep(HEARTBEAT.total_seconds())
+
+    def _hear(self, data: bytes) -> None:
+        try:
+            message = peers.unpack(data)
+        except msgspec.MsgspecError as error:
+            log.warning("peer link: unreadable message: %s", error)
+            return
+        match message:
+            case peers.Heartbeat():
+                self._news[message.node] = PeerNews(
+                    self._clock.now(), message.term, message.dispatching, message.state_age, message.workers
+                )
+            case peers.Counts():
+                if self._view.term is not None and message.term == self._view.term[0].term:
+                    self._counts = message.running
+            case peers.Handover():
+                # Committed data with its version, so it may go straight into the view.
+                self._view.apply(message.key, bytes(message.record), message.version)
+            case peers.Finished():
+                self._claims.finished(message.job, message.tasks)
+            case peers.Reclaim():
+                self._claims.reclaim(message.job, message.attempt)
+
+    def _running_counts(self) -> dict[str, int]:
+        return self._post.dispatcher.running_counts() if self._post is not None else self._counts
+
+    def _hand_over(self, job: str, version: int, record: JobRecord) -> None:
+        term = self._view.term
+        if self._post is not None or term is None:
+            return
+        message = peers.Handover(self._node, term[0].term, records.job_key(job), version, records.pack(record))
+        self._link.send(term[0].holder, peers.pack(message))
+
+    def _tell_finished(self, node: str, job: str, tasks: list[int]) -> None:
+        if node == self._node:
+            self._claims.finished(job, tasks)
+        elif self._post is not None and node in self._news:
+            message = peers.Finished(self._node, self._post.dispatcher.term, job, tasks)
+            self._link.send(node, peers.pack(message))
+
+    def _ask_reclaim(self, node: str, job: str, attempt: int) -> None:
+        if node == self._node:
+            self._claims.reclaim(job, attempt)
+        elif self._post is not None and node in self._news:
+            self._link.send(node, peers.pack(peers.Reclaim(self._node, self._post.dispatcher.term, job, attempt)))
+
+    # -- catalog --------------------------------------------------------------
+
+    async def _keep_catalog(self) -> None:
+        while True:
+            if not self._types or self._post is not None:
+                try:
+                    self._types = await self._cloud.catalog()
+                    if self._post is not None:
+                        self._post.set_types(self._types)
+                except (CloudTrouble, NoCapacity, Malformed) as error:
+                    log.info("catalog: %s", error)
+                    await asyncio.sleep(1)
+                    continue
+            await asyncio.sleep(CATALOG_INTERVAL.total_seconds())
--- /dev/null
+++ b/gingerspar/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Session, term, claims, reconciler, ledger, placement and fleet."""
--- /dev/null
+++ b/gingerspar/coordination/claims.py
@@ -0,0 +1,304 @@
+"""A claimant: claims pending records, writes results, releases what it can't serve.
+
+Every write names the session key's version and the record's version, so a write
+that is applied late, after the session or the claim is over, fails (the late-result
+table of the write-up).
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+
+import msgspec
+from sortedcontainers import SortedDict
+
+from gingerspar.coordination.session import Session
+from gingerspar.protocol.messages import JobStatus, KeyVersion, Put, Shape, Transaction
+from gingerspar.protocol.settings import OperatorSettings, TeamFacts
+from gingerspar.storage import records
+from gingerspar.storage.budgets import Urgency
+from gingerspar.storage.client import Conflict, LeaseGone, StateClient, Unavailable, Unknown
+from gingerspar.storage.records import JobRecord
+from gingerspar.storage.view import Versioned, WatchedView
+from gingerspar.transport.clock import Clock
+
+log = logging.getLogger(__name__)
+
+LEFT_OVER = timedelta(seconds=1)  # a pending record this old is claimed by the dispatcher's node
+UNREACHABLE = timedelta(seconds=4)  # a claimant cut off from the dispatcher releases its claims
+
+
+class Change(msgspec.Struct):
+    """A new version of a record, to be written."""
+
+    job: str
+    base: int  # version it replaces
+    record: JobRecord
+    chunks: list[tuple[str, msgspec.Raw]] = []
+
+
+def claimed(entry: Versioned, claimant: records.Claimant, term: int) -> JobRecord:
+    """Pending to running: the claim raises the attempt."""
+    record = entry.record
+    return msgspec.structs.replace(
+        record,
+        status=JobStatus.RUNNING,
+        attempt=record.attempt + 1,
+        claimant=claimant,
+        first_term=record.first_term or term,
+        claim_term=term,
+    )
+
+
+def released(entry: Versioned) -> JobRecord:
+    """Running to pending, the attempt as it is."""
+    return msgspec.structs.replace(entry.record, status=JobStatus.PENDING, claimant=None)
+
+
+def cancelled(entry: Versioned) -> JobRecord:
+    return msgspec.structs.replace(entry.record, status=JobStatus.CANCELLED, claimant=None, finished="", spilled=False)
+
+
+def with_results(entry: Versioned, tasks: set[int], value_bytes: int) -> Change | None:
+    """The record with newly finished tasks; done only once all are. None: nothing new."""
+    record = entry.record
+    finished = entry.finished.copy()
+    new = [number for number in tasks if finished.add(number)]
+    if not new:
+        return None
+    if finished.full and record.spec.shape is not Shape.SERVICE:
+        over = msgspec.structs.replace(record, status=JobStatus.DONE, claimant=None, finished="", spilled=False)
+        return Change(record.spec.job, entry.version, over)
+    if not records.must_spill(record.spec.tasks, value_bytes):
+        return Change(record.spec.job, entry.version, msgspec.structs.replace(record, finished=finished.text()))
+    step = records.chunk_bytes(value_bytes)
+    chunks = [
+        (
+            records.finished_key(record.spec.job, chunk),
+            records.pack(records.ChunkRecord(finished.text(chunk * step, step))),
+        )
+        for chunk in sorted({number // (8 * step) for number in new})
+    ]
+    return Change(record.spec.job, entry.version, msgspec.structs.replace(record, spilled=True), chunks)
+
+
+def over_limit(teams: dict[str, TeamFacts], entries: list[Versioned], entry: Versioned) -> bool:
+    """True if claims of the same or a higher priority already use up the team's limit."""
+    spec = entry.record.spec
+    team = teams.get(spec.team)
+    if team is None or not (team.cpus_max or team.gpus_max):
+        return False
+    cpus = gpus = 0.0
+    for other in entries:
+        theirs = other.record.spec
+        if other.record.status is JobStatus.RUNNING and theirs.team == spec.team:
+            if theirs.priority.rank <= spec.priority.rank:
+                left = theirs.tasks - len(other.finished)
+                cpus += left * theirs.cpus
+                gpus += left * theirs.gpus
+    return bool(
+        (team.cpus_max and spec.cpus and cpus >= team.cpus_max)
+        or (team.gpus_max and spec.gpus and gpus >= team.gpus_max)
+    )
+
+
+class Claims:
+    """Runs in every node."""
+
+    def __init__(
+        self,
+        node: str,
+        client: StateClient,
+        view: WatchedView,
+        session: Session,
+        clock: Clock,
+        teams: dict[str, TeamFacts],
+        settings: OperatorSettings,
+    ) -> None:
+        self._node = node
+        self._client = client
+        self._view = view
+        self._session = session
+        self._clock = clock
+        self._teams = teams
+        self._settings = settings
+        self._pending: SortedDict[tuple[int, float, float, str], str] = SortedDict()
+        self._orders: dict[str, tuple[int, float, float, str]] = {}
+        self._since: dict[str, timedelta] = {}
+        self._accepted: set[str] = set()  # by this node: it claims them at once
+        self._results: dict[str, set[int]] = {}
+        self._reclaims: dict[str, int] = {}
+        self._wake = asyncio.Event()
+        self._result_wake = asyncio.Event()
+        self._reached = clock.now()
+        self.reachable: Callable[[], bool] = lambda: True  # whether the dispatcher can be handed work
+        self.dispatching: Callable[[], bool] = lambda: False  # whether this node is the dispatcher
+        self.hand_over: Callable[[str, int, JobRecord], None] = lambda job, version, record: None
+        view.on_job.append(self._job_changed)
+
+    def _job_changed(self, job: str) -> None:
+        entry = self._view.jobs.get(job)
+        if entry is not None and entry.record.status is JobStatus.PENDING:
+            if job not in self._orders:
+                order = entry.record.order
+                self._orders[job] = order
+                self._pending[order] = job
+                self._since[job] = self._clock.now()
+                self._wake.set()
+            return
+        order_then = self._orders.pop(job, None)
+        if order_then is not None:
+            self._pending.pop(order_then, None)
+            self._since.pop(job, None)
+        if entry is None:
+            self._accepted.discard(job)
+            self._results.pop(job, None)
+            self._reclaims.pop(job, None)
+
+    def accepted(self, job: str) -> None:
+        self._accepted.add(job)
+        self._wake.set()
+
+    def finished(self, job: str, tasks: list[int]) -> None:
+        """From the dispatcher; said again until the record shows it."""
+        entry = self._view.jobs.get(job)
+        if entry is not None:
+            self._results.setdefault(job, set()).update(tasks)
+            self._result_wake.set()
+
+    def reclaim(self, job: str, attempt: int) -> None:
+        """From the dispatcher: a new attempt is needed, unless there is one already."""
+        self._reclaims[job] = attempt
+        self._wake.set()
+
+    async def run_claims(self) -> None:
+        while True:
+            try:
+                await asyncio.wait_for(self._wake.wait(), 0.5)
+                await asyncio.sleep(0.005)
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            if self._view.term is None or self._session.claimant is None:
+                continue
+            now = self._clock.now()
+            if self.reachable():
+                self._reached = now
+                await self._write(self._next_reclaims(), Urgency.CLAIM, hand_over=True)
+                while batch := self._next_claims(now):
+                    if not await self._write(batch, Urgency.CLAIM, hand_over=True):
+                        break
+            elif now - self._reached > UNREACHABLE:
+                await self._write(self._next_releases(), Urgency.BACKGROUND)
+
+    def _next_claims(self, now: timedelta) -> list[Change]:
+        claimant, term = self._session.claimant, self._view.term
+        if claimant is None or term is None:
+            return []
+        batch: list[Change] = []
+        most = min(self._settings.claim_batch, self._client.most_puts)
+        entries = list(self._view.jobs.values()) if self._pending and self._teams else []
+        takes_leftovers = self.dispatching()
+        for job in self._pending.values():
+            entry = self._view.jobs[job]
+            mine = job in self._accepted or (takes_leftovers and now - self._since[job] >= LEFT_OVER)
+            if mine and not over_limit(self._teams, entries, entry):
+                batch.append(Change(job, entry.version, claimed(entry, claimant, term[0].term)))
+                if len(batch) >= most:
+                    break
+        return batch
+
+    def _next_reclaims(self) -> list[Change]:
+        claimant, term = self._session.claimant, self._view.term
+        batch: list[Change] = []
+        for job, attempt in list(self._reclaims.items()):
+            entry = self._view.jobs.get(job)
+            if entry is None or entry.record.claimant != claimant or entry.record.attempt > attempt:
+                del self._reclaims[job]
+            elif claimant is not None and term is not None and len(batch) < self._client.most_puts:
+                del self._reclaims[job]
+                batch.append(Change(job, entry.version, claimed(entry, claimant, term[0].term)))
+        return batch
+
+    def _next_releases(self) -> list[Change]:
+        claimant = self._session.claimant
+        mine = [
+            (job, entry)
+            for job, entry in self._view.jobs.items()
+            if claimant is not None and entry.record.claimant == claimant
+        ]
+        return [
+            Change(job, entry.version, released(entry))
+            for job, entry in mine[: min(self._settings.sweep_batch, self._client.most_puts)]
+        ]
+
+    async def run_results(self) -> None:
+        while True:
+            await self._result_wake.wait()
+            self._result_wake.clear()
+            if self._session.claimant is None:
+                await asyncio.sleep(0.2)
+                continue
+            while batch := self._next_results():
+                if not await self._write(batch, Urgency.RESULT):
+                    break
+            await asyncio.sleep(self._settings.result_interval.total_seconds())
+
+    def _next_results(self) -> list[Change]:
+        """One write per job with newly finished tasks, as many jobs as fit one transaction."""
+        claimant = self._session.claimant
+        batch: list[Change] = []
+        puts = 0
+        for job in list(self._results):
+            entry = self._view.jobs.get(job)
+            if entry is None or entry.record.claimant != claimant or claimant is None:
+                del self._results[job]
+                continue
+            change = with_results(entry, self._results[job], self._client.value_bytes)
+            if change is None:
+                del self._results[job]
+                continue
+            if puts + 1 + len(change.chunks) > self._client.most_puts and batch:
+                break
+            puts += 1 + len(change.chunks)
+            batch.append(change)
+        return batch
+
+    async def _write(self, batch: list[Change], urgency: Urgency, *, hand_over: bool = False) -> bool:
+        """Commits the changes in one transaction; what it wrote is in the view at once."""
+        term = self._view.term
+        if not batch or term is None:
+            return False
+        session = self._session.condition()
+        conditions = [session, *(KeyVersion(records.job_key(change.job), change.base) for change in batch)]
+        if hand_over:
+            # A claim names the term it was made in: none is made for an older holder than
+            # the record says, so `first_term` tells who may have started its tasks.
+            conditions.append(KeyVersion(records.TERM, term[1]))
+        puts: list[Put] = []
+        for change in batch:
+            puts += [Put(key, value) for key, value in change.chunks]
+            puts.append(Put(records.job_key(change.job), records.pack(change.record)))
+        try:
+            version = await self._client.commit(Transaction(conditions, [*puts]), urgency)
+        except Conflict as conflict:
+            log.debug("write refused: %s", conflict)
+            await self._view.barrier(timedelta(seconds=1))
+            return False
+        except LeaseGone:
+            return False
+        except (Unavailable, Unknown) as error:
+            log.debug("write: %s", error)
+            await asyncio.sleep(0.1)
+            self._wake.set()
+            self._result_wake.set()
+            await self._view.barrier(timedelta(seconds=1))
+            return False
+        for put in puts:
+            self._view.apply(put.key, bytes(put.value), version)
+        if hand_over:
+            for change in batch:
+                log.info("claimed %s attempt %d", change.job, change.record.attempt)
+                self.hand_over(change.job, version, change.record)
+        return True
--- /dev/null
+++ b/gingerspar/coordination/cloud.py
@@ -0,0 +1,63 @@
+"""The cloud's interface, within this node's share of its rate."""
+
+from datetime import timedelta
+from urllib.parse import quote
+
+from gingerspar.protocol import messages, names
+from gingerspar.protocol.messages import ListedMachine, MachineType
+from gingerspar.storage.budgets import Budget, Urgency
+from gingerspar.transport.client import Client, Unanswered
+from gingerspar.transport.clock import Clock
+
+
+class CloudTrouble(Exception):
+    """No usable answer; a rental may have been carried out all the same."""
+
+
+class NoCapacity(Exception):
+    """None of these machines is to be had now."""
+
+
+class Cloud:
+    """Calls to the cloud. The dispatcher makes nearly all of them."""
+
+    SHARE = 0.7  # of the cloud's rate; the rest is for other nodes' catalogs and a former holder
+
+    def __init__(self, address: str, clock: Clock, rps: float) -> None:
+        self._client = Client(address, connect_timeout=timedelta(seconds=3))
+        self._budget = Budget(clock, rps * self.SHARE, max(1.0, rps * self.SHARE))
+
+    async def _call(self, method: str, path: str, body: bytes | None = None, urgent: bool = False) -> bytes:
+        await self._budget.take(1, Urgency.USER if urgent else Urgency.BACKGROUND)
+        try:
+            status, answer = await self._client.request(method, path, body, timeout=timedelta(seconds=8))
+        except Unanswered as error:
+            raise CloudTrouble(str(error)) from error
+        if status == 200:
+            return answer
+        if status == 429:
+            self._budget.drain(timedelta(milliseconds=300))
+        if status == 503 and b"no capacity" in answer:
+            raise NoCapacity
+        raise CloudTrouble(f"{method} {path}: {status} {answer[:200]!r}")
+
+    async def catalog(self) -> list[MachineType]:
+        return messages.decode(messages.Catalog, await self._call("GET", names.PATH_CATALOG)).types
+
+    async def rent(self, request: messages.RentRequest) -> list[str]:
+        answer = await self._call("POST", names.PATH_MACHINES, messages.encode(request), urgent=True)
+        return messages.decode(messages.MachineNames, answer).machines
+
+    async def give_back(self, machines: list[str]) -> None:
+        await self._call("POST", names.PATH_RETURN, messages.encode(messages.MachineNames(machines)))
+
+    async def machines(self) -> list[ListedMachine]:
+        found: list[ListedMachine] = []
+        since = ""
+        while True:
+            path = f"{names.PATH_MACHINES}?Most=500" + (f"&Since={quote(since)}" if since else "")
+            page = messages.decode(messages.MachineList, await self._call("GET", path))
+            found += page.machines
+            if not page.more or not page.machines:
+                return found
+            since = page.machines[-1].machine
--- /dev/null
+++ b/gingerspar/coordination/frontdoor.py
@@ -0,0 +1,279 @@
+"""What users meet: submit, ask, cancel, health.
+
+Nothing is answered by guess: an unknown id is 404 only after a read sent after
+the question came, and what can't be decided now is 503 at once, with the time to
+come back.
+"""
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from tornado.httputil import HTTPServerRequest
+
+from gingerspar.coordination.claims import Claims, cancelled
+from gingerspar.protocol import messages
+from gingerspar.protocol.messages import (
+    JobSpec,
+    JobState,
+    JobStatus,
+    JobView,
+    KeyVersion,
+    MachineType,
+    Malformed,
+    Put,
+    Shape,
+    Transaction,
+)
+from gingerspar.protocol.settings import TeamFacts
+from gingerspar.storage import records
+from gingerspar.storage.budgets import Urgency
+from gingerspar.storage.client import Conflict, LeaseGone, StateClient, Unavailable, Unknown
+from gingerspar.storage.records import JobRecord
+from gingerspar.storage.view import Phase, WatchedView
+from gingerspar.transport.clock import Clock
+from gingerspar.transport.server import Answer
+
+log = logging.getLogger(__name__)
+
+MOST_WAITING = 400  # submissions queued before the door says 429
+TXN_BYTES = 56 * 1024  # of the 64 KiB a transaction may have
+POLL_WAIT = timedelta(seconds=1.6)  # users wait 2 s for an answer
+WRITE_WAIT = timedelta(seconds=3.5)  # ... and 5 s for a submission
+STATE_GONE = timedelta(seconds=2.5)  # without a read for so long: no state service
+
+
+def problem(status: int, text: str, retry_after: int | None = None) -> Answer:
+    headers = {} if retry_after is None else {"Retry-After": str(retry_after)}
+    return Answer(status, messages.encode({"error": text}), headers)
+
+
+def verdict(spec: JobSpec, teams: dict[str, TeamFacts], types: dict[str, MachineType]) -> str | None:
+    """Why a job can never run, or None."""
+    team = teams.get(spec.team)
+    if team is None:
+        return f"unknown team {spec.team}"
+    if not any(allowed_on(spec, kind) for kind in types.values()):
+        return "a task fits no allowed machine type"
+    count = 1 if spec.shape is Shape.ARRAY else spec.tasks
+    if team.cpus_max and spec.cpus * count > team.cpus_max + 1e-9:
+        return "more CPUs than the team's limit"
+    if team.gpus_max and spec.gpus * count > team.gpus_max + 1e-9:
+        return "more GPUs than the team's limit"
+    return None
+
+
+def allowed_on(spec: JobSpec, kind: MachineType) -> bool:
+    """Type, zone and size; not whether there is room now."""
+    if spec.types is not None and kind.name not in spec.types:
+        return False
+    if spec.zone is not None and spec.zone not in kind.zones:
+        return False
+    return spec.cpus <= kind.cpus + 1e-9 and spec.gpus <= kind.gpus + 1e-9 and spec.memory_gb <= kind.memory_gb + 1e-9
+
+
+class _Submission:
+    __slots__ = ("answer", "record")
+
+    def __init__(self, record: JobRecord) -> None:
+        self.record = record
+        self.answer: asyncio.Future[bool | None] = asyncio.get_running_loop().create_future()
+
+
+class FrontDoor:
+    """Runs in every node."""
+
+    def __init__(
+        self, client: StateClient, view: WatchedView, claims: Claims, clock: Clock, teams: dict[str, TeamFacts]
+    ) -> None:
+        self._client = client
+        self._view = view
+        self._claims = claims
+        self._clock = clock
+        self._teams = teams
+        self._queue: deque[_Submission] = deque()
+        self._queued = asyncio.Event()
+        self.types: Callable[[], dict[str, MachineType]] = dict
+        self.running_counts: Callable[[], dict[str, int]] = dict
+        self.peer_has_state: Callable[[], bool] = lambda: False
+
+    # -- health ---------------------------------------------------------------
+
+    def health(self) -> Answer:
+        """Unhealthy only where another node could do better."""
+        if self._has_state() or (self._view.phase is Phase.FOLLOWING and not self.peer_has_state()):
+            return Answer(200, b'{"ok":true}')
+        return problem(503, "no state service", 1)
+
+    def _has_state(self) -> bool:
+        return self._view.phase is Phase.FOLLOWING and self._view.age() < STATE_GONE
+
+    # -- submissions ----------------------------------------------------------
+
+    async def submit(self, request: HTTPServerRequest) -> Answer:
+        try:
+            body = messages.read_json(request.body)
+        except Malformed as error:
+            return problem(400, str(error))
+        job = messages.job_id_in(body)
+        spec, refusal = self._check(body)
+        if job is None:
+            return refusal or problem(400, "Ref: not a job id")
+        known = self._view.status_of(job)
+        if known is not None and known.final:
+            return self._state(200, job, known)
+        if not self._has_state():
+            return problem(503, "no state service", 1)
+        if known is not None or spec is None:
+            # An accepted job's id wins over whatever is wrong with this body.
+            if not await self._view.barrier(POLL_WAIT):
+                return problem(503, "no state service", 1)
+            known = self._view.status_of(job)
+            if known is not None:
+                return self._state(200, job, known)
+            return refusal or problem(503, "try again", 1)
+        if len(self._queue) >= MOST_WAITING:
+            return problem(429, "too many submissions", 2)
+        return await self._accept(spec)
+
+    def _check(self, body: Any) -> tuple[JobSpec | None, Answer | None]:
+        try:
+            spec = messages.parse_job(body)
+        except Malformed as error:
+            log.info("malformed submission: %s", error)
+            return None, problem(400, str(error))
+        types = self.types()
+        if not types:
+            return None, problem(503, "machine types are not known yet", 1)
+        reason = verdict(spec, self._teams, types)
+        return (spec, None) if reason is None else (None, problem(422, reason))
+
+    async def _accept(self, spec: JobSpec) -> Answer:
+        record = JobRecord(spec=spec, status=JobStatus.PENDING, submitted=self._clock.today().timestamp())
+        waiting = _Submission(record)
+        self._queue.append(waiting)
+        self._queued.set()
+        try:
+            fresh = await asyncio.wait_for(waiting.answer, WRITE_WAIT.total_seconds())
+        except TimeoutError:
+            fresh = None
+        if fresh is None:
+            return problem(503, "not accepted yet", 1)
+        if fresh:
+            return self._state(201, spec.job, JobStatus.PENDING)
+        known = self._view.status_of(spec.job)
+        return self._state(200, spec.job, known) if known is not None else problem(503, "try again", 1)
+
+    async def run_submissions(self) -> None:
+        """Commits what has gathered, several records a transaction."""
+        while True:
+            await self._queued.wait()
+            batch: list[_Submission] = []
+            size = 0
+            while self._queue and len(batch) < self._client.most_puts:
+                size += len(records.pack(self._queue[0].record)) + 200
+                if batch and size > TXN_BYTES:
+                    break
+                waiting = self._queue.popleft()
+                if not waiting.answer.done():
+                    batch.append(waiting)
+            if not self._queue:
+                self._queued.clear()
+            if batch:
+                await self._commit_submissions(batch)
+
+    async def _commit_submissions(self, batch: list[_Submission]) -> None:
+        unique = {waiting.record.spec.job: waiting for waiting in batch}
+        for tries in range(3):
+            conditions = [KeyVersion(records.job_key(job), 0) for job in unique]
+            puts = [Put(records.job_key(job), records.pack(waiting.record)) for job, waiting in unique.items()]
+            try:
+                version = await self._client.commit(Transaction(conditions, [*puts]), Urgency.USER)
+            except Conflict as conflict:
+                # Known already (a repeat, or our own write whose answer was lost).
+                known = {key[len(records.JOBS) :] for key in conflict.failed}
+                seen = await self._view.barrier(timedelta(seconds=1))
+                for waiting in batch:
+                    if waiting.record.spec.job in known and not waiting.answer.done():
+                        waiting.answer.set_result(False if seen else None)
+                unique = {job: waiting for job, waiting in unique.items() if job not in known}
+                if not unique or not known:
+                    break
+                continue
+            except (Unavailable, LeaseGone):
+                break
+            except Unknown:
+                if tries:
+                    break
+                continue  # conditional: if it was applied, the repeat shows it
+            for put in puts:
+                self._view.apply(put.key, bytes(put.value), version)
+            for job in unique:
+                self._claims.accepted(job)
+            for waiting in batch:
+                if waiting.record.spec.job in unique and not waiting.answer.done():
+                    waiting.answer.set_result(waiting is unique[waiting.record.spec.job])
+            return
+        for waiting in batch:
+            if not waiting.answer.done():
+                waiting.answer.set_result(None)
+
+    # -- questions ------------------------------------------------------------
+
+    async def ask(self, job: str) -> Answer:
+        if not messages.JOB_ID.fullmatch(job):
+            return problem(404, "no such job")
+        final = self._view.final.get(job)
+        if final is None:
+            if not self._has_state() or not await self._view.barrier(POLL_WAIT):
+                return problem(503, "no state service", 1)
+            final = self._view.final.get(job)
+        if final is not None:
+            done = final.tasks if final.status is JobStatus.DONE else 0
+            return Answer(200, messages.encode(JobView(job, final.status, done, 0)))
+        entry = self._view.jobs.get(job)
+        if entry is None:
+            return problem(404, "no such job")
+        running = self.running_counts().get(job, 0)
+        status = JobStatus.RUNNING if running else JobStatus.PENDING
+        return Answer(200, messages.encode(JobView(job, status, len(entry.finished), running)))
+
+    # -- cancellations --------------------------------------------------------
+
+    async def cancel(self, job: str) -> Answer:
+        if not messages.JOB_ID.fullmatch(job):
+            return problem(404, "no such job")
+        deadline = self._clock.now() + WRITE_WAIT
+        while self._clock.now() < deadline:
+            final = self._view.final.get(job)
+            if final is not None:
+                return self._state(200, job, final.status)
+            if not self._has_state():
+                break
+            entry = self._view.jobs.get(job)
+            if entry is None:
+                if not await self._view.barrier(POLL_WAIT):
+                    break
+                if self._view.status_of(job) is None:
+                    return problem(404, "no such job")
+                continue
+            put = Put(records.job_key(job), records.pack(cancelled(entry)))
+            try:
+                version = await self._client.commit(
+                    Transaction([KeyVersion(put.key, entry.version)], [put]), Urgency.USER
+                )
+            except (Conflict, Unknown):
+                await self._view.barrier(timedelta(seconds=1))
+                continue
+            except (Unavailable, LeaseGone):
+                break
+            self._view.apply(put.key, bytes(put.value), version)
+        return problem(503, "not cancelled yet", 1)
+
+    def _state(self, status: int, job: str, known: JobStatus) -> Answer:
+        if not known.final:
+            known = JobStatus.RUNNING if self.running_counts().get(job) else JobStatus.PENDING
+        return Answer(status, messages.encode(JobState(job, known)))
--- /dev/null
+++ b/gingerspar/coordination/session.py
@@ -0,0 +1,112 @@
+"""A node's session: a key on a lease that every claim and result write names."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+from enum import Enum
+
+from gingerspar.protocol.messages import KeyVersion, Put, Transaction
+from gingerspar.storage import records
+from gingerspar.storage.budgets import Urgency
+from gingerspar.storage.client import Conflict, LeaseGone, StateClient, Unavailable, Unknown
+from gingerspar.storage.records import Claimant, NodeRecord
+from gingerspar.storage.view import Phase, WatchedView
+from gingerspar.transport.clock import Clock
+
+log = logging.getLogger(__name__)
+
+
+class SessionState(Enum):
+    NONE = "none"
+    LEASED = "leased"  # a lease, but no key on it yet
+    OPEN = "open"
+
+
+_ALLOWED = {
+    (SessionState.NONE, SessionState.LEASED),
+    (SessionState.LEASED, SessionState.OPEN),
+    (SessionState.LEASED, SessionState.NONE),
+    (SessionState.OPEN, SessionState.NONE),
+}
+
+
+class Session:
+    """Opens the session, renews it, and opens another when it is lost."""
+
+    def __init__(self, node: str, client: StateClient, view: WatchedView, clock: Clock, ttl: timedelta) -> None:
+        self._node = node
+        self._key = records.node_key(node)
+        self._client = client
+        self._view = view
+        self._clock = clock
+        self._ttl = ttl
+        self._lease = 0
+        self._version = 0
+        self.state = SessionState.NONE
+        self.on_change: list[Callable[[SessionState], None]] = []
+        view.on_node.append(self._seen)
+
+    def _move(self, state: SessionState, why: str) -> None:
+        """The only place where the session's state changes."""
+        if (self.state, state) not in _ALLOWED:
+            raise RuntimeError(f"session: {self.state} to {state}")
+        log.info("session %s -> %s: %s", self.state.value, state.value, why)
+        self.state = state
+        for listener in self.on_change:
+            listener(state)
+
+    @property
+    def claimant(self) -> Claimant | None:
+        return Claimant(self._node, self._version) if self.state is SessionState.OPEN else None
+
+    def condition(self) -> KeyVersion:
+        """Makes a write fail once this session is over, however late it is applied."""
+        return KeyVersion(self._key, self._version)
+
+    def _seen(self, node: str) -> None:
+        if node != self._node or self.state is not SessionState.OPEN:
+            return
+        if self._view.nodes.get(node) != self._version:
+            self._move(SessionState.NONE, "key is gone or another's")
+
+    async def keep(self) -> None:
+        while True:
+            try:
+                if self.state is SessionState.OPEN:
+                    await asyncio.sleep(self._ttl.total_seconds() / 3)
+                    await self._client.extend(self._lease)
+                elif self._view.phase is Phase.FOLLOWING:
+                    await self._open()
+                else:
+                    await asyncio.sleep(0.05)
+            except LeaseGone:
+                if self.state is not SessionState.NONE:
+                    self._move(SessionState.NONE, "lease has ended")
+            except (Unavailable, Unknown) as error:
+                log.debug("session: %s", error)
+                await asyncio.sleep(0.3)
+
+    async def _open(self) -> None:
+        if self.state is SessionState.NONE:
+            self._lease = await self._client.grant(self._ttl)
+            self._move(SessionState.LEASED, f"lease {self._lease}")
+        value = records.pack(NodeRecord(started=self._clock.today().timestamp()))
+        transaction = Transaction(
+            # Conditional, so that a delayed put of an earlier session can't end this one unseen.
+            [KeyVersion(self._key, self._view.nodes.get(self._node, 0))],
+            [Put(self._key, value, self._lease)],
+        )
+        try:
+            version = await self._client.commit(transaction, Urgency.SESSION)
+        except Conflict:
+            await self._view.barrier(timedelta(seconds=1))
+            return
+        except Unknown:
+            # It may have been applied under this very lease; a new lease tells them apart.
+            self._move(SessionState.NONE, "no answer")
+            raise
+        self._version = version
+        self._view.apply(self._key, bytes(value), version)
+        if self.state is SessionState.LEASED:
+            self._move(SessionState.OPEN, f"version {version}")
--- /dev/null
+++ b/gingerspar/coordination/term.py
@@ -0,0 +1,118 @@
+"""The term: which node commands the machines, and when another takes over.
+
+The term is a number in one key, raised by a conditional write. ``decide`` is a
+pure function of what a node knows, so that kept traces can show each case.
+"""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+
+from gingerspar.protocol.settings import WorkerFacts
+
+
+class TermState(Enum):
+    """This node's part in the current term."""
+
+    FOLLOWING = "following"
+    RAISING = "raising"
+    HOLDING = "holding"
+
+
+DRIFT = 0.0005  # steady clocks drift apart by at most this share (PROTOCOL)
+
+
+def authority_span(workers: WorkerFacts) -> timedelta:
+    """L: how long after *sending* its last good state read a holder may answer workers.
+
+    A cancellation committed just after that read must take effect within
+    ``cancel``: the worker's last answered report is at most L later, and its lease
+    then ends within ``lease`` by its own clock.
+    """
+    margin = timedelta(seconds=1) + workers.cancel * (4 * DRIFT)
+    return max(workers.cancel - workers.lease - margin, timedelta(seconds=1))
+
+
+def settle_span(workers: WorkerFacts) -> timedelta:
+    """After a term change: until no machine can still run what an older holder started."""
+    total = authority_span(workers) + workers.lease
+    return total + total * (4 * DRIFT) + timedelta(seconds=0.5)
+
+
+@dataclass(slots=True)
+class PeerNews:
+    """What the last heartbeat of a peer said and when it came."""
+
+    heard: timedelta
+    term: int
+    dispatching: bool
+    state_age: timedelta
+    workers: int
+
+
+@dataclass(slots=True)
+class Knowledge:
+    """All that the decision to raise the term rests on."""
+
+    now: timedelta
+    node: str
+    state_age: timedelta  # of this node's view
+    session_open: bool
+    term: int  # 0: there is none
+    holder: str | None
+    holder_session_alive: bool
+    holder_is_this_process: bool
+    workers: int  # reports that reached this node within the last seconds
+    term_seen: timedelta  # when this node first saw the current term
+    started: timedelta
+    live_nodes: list[str] = field(default_factory=list)  # with an open session
+    peers: dict[str, PeerNews] = field(default_factory=dict)
+    link_up: bool = False  # to the holder
+    stateless_since: timedelta | None = None
+
+
+FRESH = timedelta(seconds=1.5)
+SILENT = timedelta(seconds=1.2)
+STALE_HOLDER = timedelta(seconds=3.5)
+NO_WORKERS = timedelta(seconds=5)
+STAGGER = timedelta(milliseconds=500)
+SETTLING_IN = timedelta(seconds=4)  # a new holder gets this long before it is judged
+
+
+def reason_to_raise(k: Knowledge) -> str | None:
+    """Why this node should take the term now, if it should."""
+    if k.holder_is_this_process or not k.session_open or k.state_age > FRESH:
+        return None
+    if k.term == 0 or k.holder is None:
+        return _in_turn(k, "there is no holder", k.started)
+    if k.holder == k.node:
+        return "the holder was this node's former process"
+    news = k.peers.get(k.holder)
+    silence = k.now - news.heard if news is not None else k.now - k.started
+    silent = silence > SILENT
+    if not k.holder_session_alive and silent:
+        return _in_turn(k, "the holder's session is over", k.term_seen)
+    if k.now - k.term_seen < SETTLING_IN:
+        return None
+    if silent:
+        # A cut between controllers alone must not make the term go to and fro:
+        # workers that come here show that the holder doesn't answer them.
+        if k.workers > 0 and not k.link_up:
+            return _in_turn(k, "the holder is silent and workers come here", k.now - silence + SILENT)
+        return None
+    if news is None:
+        return None
+    if news.state_age > STALE_HOLDER:
+        return _in_turn(k, "the holder has no state service", k.now - (news.state_age - STALE_HOLDER))
+    if not news.dispatching and news.term >= k.term:
+        return _in_turn(k, "the holder gave up", k.now - silence)
+    if news.workers == 0 and k.workers > 0 and k.now - k.term_seen > NO_WORKERS:
+        return _in_turn(k, "workers reach this node and not the holder", k.term_seen + NO_WORKERS)
+    return None
+
+
+def _in_turn(k: Knowledge, why: str, since: timedelta) -> str | None:
+    """Lets the nodes try one after the other, in the order of their names."""
+    others = sorted(set(k.live_nodes) - {k.holder})
+    place = others.index(k.node) if k.node in others else len(others)
+    return why if k.now - since >= STAGGER * place else None
--- /dev/null
+++ b/gingerspar/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""What travels: messages, settings and the names they use on the wire."""
--- /dev/null
+++ b/gingerspar/protocol/names.py
@@ -0,0 +1,20 @@
+"""Words that appear on the wire, and the paths. They are used in no other layer."""
+
+from typing import Final
+
+TOKEN: Final = "Baton"
+DISPATCHER: Final = "Foreman"
+
+PATH_JOBS: Final = "/v1/jobs"
+PATH_ABORT: Final = "/abort"
+PATH_REPORT: Final = "/hello"
+PATH_UP: Final = "/up"
+PATH_COMMANDS: Final = "/commands"
+PATH_CATALOG: Final = "/catalog"
+PATH_MACHINES: Final = "/machines"
+PATH_RETURN: Final = "/machines/return"
+PATH_KEYS: Final = "/keys"
+PATH_COMMIT: Final = "/commit"
+PATH_GRANTS: Final = "/grants"
+PATH_EXTEND: Final = "/extend"
+PATH_CHANGES: Final = "/changes"
--- /dev/null
+++ b/gingerspar/protocol/peers.py
@@ -0,0 +1,70 @@
+"""What controllers say to one another (netstrings of JSON, tagged)."""
+
+from datetime import timedelta
+
+import msgspec
+
+
+class Heartbeat(msgspec.Struct, tag="heartbeat"):
+    """How a node fares, several times a second."""
+
+    node: str
+    term: int
+    dispatching: bool
+    state_age_s: float  # since the sending of its last successful read of the state service
+    workers: int  # reports that reached it within the last few seconds
+
+    @property
+    def state_age(self) -> timedelta:
+        return timedelta(seconds=self.state_age_s)
+
+
+class Counts(msgspec.Struct, tag="counts"):
+    """The dispatcher's count of running tasks by job, for display."""
+
+    node: str
+    term: int
+    running: dict[str, int]
+
+
+class Handover(msgspec.Struct, tag="handover"):
+    """A committed claim, handed to the dispatcher ahead of its watched view."""
+
+    node: str
+    term: int
+    key: str
+    version: int
+    record: msgspec.Raw
+
+
+class Finished(msgspec.Struct, tag="finished"):
+    """The dispatcher tells the claimant which tasks are done."""
+
+    node: str
+    term: int
+    job: str
+    tasks: list[int]
+
+
+class Reclaim(msgspec.Struct, tag="reclaim"):
+    """The dispatcher needs a new attempt of a job before any new start."""
+
+    node: str
+    term: int
+    job: str
+    attempt: int
+
+
+Message = Heartbeat | Counts | Handover | Finished | Reclaim
+
+_decoder = msgspec.json.Decoder(Message)
+_encoder = msgspec.json.Encoder()
+
+
+def pack(message: Message) -> bytes:
+    return _encoder.encode(message)
+
+
+def unpack(data: bytes) -> Message:
+    message: Message = _decoder.decode(data)
+    return message
--- /dev/null
+++ b/gingerspar/storage/__init__.py
@@ -0,0 +1,1 @@
+"""The state service: client, budgets, records and the watched view."""
--- /dev/null
+++ b/gingerspar/storage/budgets.py
@@ -0,0 +1,63 @@
+"""Rate budgets: a token bucket whose waiters are served by priority."""
+
+import asyncio
+from datetime import timedelta
+from enum import IntEnum
+
+from sortedcontainers import SortedList
+
+from gingerspar.transport.clock import Clock
+
+
+class Urgency(IntEnum):
+    """Who goes first when the budget is short."""
+
+    SESSION = 0  # session and term: without them nothing else can be written
+    USER = 1  # submissions and cancellations
+    CLAIM = 2
+    RESULT = 3
+    BACKGROUND = 4  # sweeps, roster clean-up
+
+
+class Budget:
+    """``rate`` units a second, saved up for at most ``burst`` units."""
+
+    def __init__(self, clock: Clock, rate: float, burst: float) -> None:
+        self._clock = clock
+        self._rate = rate
+        self._burst = burst
+        self._level = burst
+        self._at = clock.now()
+        self._order = 0
+        self._waiting: SortedList[tuple[int, int]] = SortedList()
+
+    @property
+    def burst(self) -> float:
+        return self._burst
+
+    def _refill(self) -> None:
+        now = self._clock.now()
+        self._level = min(self._burst, self._level + (now - self._at).total_seconds() * self._rate)
+        self._at = now
+
+    async def take(self, units: float, urgency: Urgency) -> None:
+        """Returns once ``units`` are there and nobody more urgent waits."""
+        units = min(units, self._burst)
+        self._order += 1
+        ticket = (int(urgency), self._order)
+        self._waiting.add(ticket)
+        try:
+            while True:
+                self._refill()
+                if self._waiting[0] == ticket and self._level >= units:
+                    self._level -= units
+                    return
+                lacking = max(units - self._level, 0.02 * self._rate)
+                await asyncio.sleep(min(lacking / self._rate, 0.25))
+        finally:
+            self._waiting.remove(ticket)
+
+    def drain(self, pause: timedelta) -> None:
+        """The other side says that too much came: nothing for a while."""
+        self._refill()
+        self._level = min(self._level, -pause.total_seconds() * self._rate)
--- /dev/null
+++ b/gingerspar/storage/client.py
@@ -0,0 +1,122 @@
+"""The state service's interface, with the outcome of every call spelt out."""
+
+from datetime import timedelta
+from urllib.parse import quote
+
+from gingerspar.protocol import messages, names
+from gingerspar.storage.budgets import Budget, Urgency
+from gingerspar.transport.client import Client, Unanswered
+from gingerspar.transport.clock import Clock
+
+
+class Unavailable(Exception):
+    """The request was not executed: 503, 429 or no connection."""
+
+
+class Unknown(Exception):
+    """No answer: the request may have been executed, or may yet be."""
+
+
+class Conflict(Exception):
+    """A condition did not hold; nothing was written."""
+
+    def __init__(self, failed: list[str], revision: int) -> None:
+        super().__init__(", ".join(failed))
+        self.failed = failed
+        self.revision = revision
+
+
+class LeaseGone(Exception):
+    """The lease of a put, or the one to extend, has ended."""
+
+
+class TooOld(Exception):
+    """Changes since that revision are no longer kept."""
+
+
+class StateClient:
+    """Calls to the state service within this node's share of its limits."""
+
+    # A 429 was not executed and is simply asked again, so shares may overlap a little:
+    # nodes are seldom busy all at once.
+    WRITE_OVERLAP = 1.4
+    REQUEST_SHARE = 0.45  # of the node's part; the rest is for the view's reads
+
+    def __init__(
+        self, address: str, clock: Clock, *, rps: float, write_rps: float, txn_ops: int, value_bytes: int, nodes: int
+    ) -> None:
+        self._client = Client(address)
+        self._clock = clock
+        part = 1 / max(nodes, 1)
+        write_rate = write_rps * min(1.0, part * self.WRITE_OVERLAP)
+        self._writes = Budget(clock, write_rate, max(1.0, write_rate))
+        request_rate = max(1.0, rps * part * self.REQUEST_SHARE)
+        self._requests = Budget(clock, request_rate, request_rate)
+        self.most_puts = max(1, min(txn_ops, int(self._writes.burst)))
+        self.most_conditions = 4 * txn_ops
+        self.value_bytes = value_bytes
+
+    async def _call(
+        self, method: str, path: str, body: bytes | None = None, timeout: timedelta = timedelta(seconds=2)
+    ) -> tuple[int, bytes]:
+        try:
+            status, answer = await self._client.request(method, path, body, timeout=timeout)
+        except Unanswered as error:
+            raise Unknown(str(error)) from error
+        if status in (429, 503):
+            if status == 429:
+                self._requests.drain(timedelta(milliseconds=100))
+                self._writes.drain(timedelta(milliseconds=100))
+            raise Unavailable(f"{status} {path}")
+        return status, answer
+
+    async def changes(self, prefix: str, since: int, timeout: timedelta) -> messages.Changes:
+        """All changes after ``since``; not budgeted, the view keeps its own pace."""
+        path = f"{names.PATH_CHANGES}?Prefix={quote(prefix)}&Since={since}&HoldMs=0"
+        status, answer = await self._call("GET", path, timeout=timeout)
+        if status == 410:
+            raise TooOld(str(since))
+        if status != 200:
+            raise Unavailable(f"{status} {path}")
+        return messages.decode(messages.Changes, answer)
+
+    async def page(self, prefix: str, since: str | None, most: int) -> messages.Items:
+        await self._requests.take(1, Urgency.SESSION)
+        path = f"{names.PATH_KEYS}?Prefix={quote(prefix)}&Most={most}"
+        if since is not None:
+            path += f"&Since={quote(since)}"
+        status, answer = await self._call("GET", path, timeout=timedelta(seconds=4))
+        if status != 200:
+            raise Unavailable(f"{status} {path}")
+        return messages.decode(messages.Items, answer)
+
+    async def commit(self, transaction: messages.Transaction, urgency: Urgency) -> int:
+        """The revision of the writes, or ``Conflict``, ``Unavailable``, ``Unknown``."""
+        await self._requests.take(1, urgency)
+        if transaction.writes:
+            await self._writes.take(len(transaction.writes), urgency)
+        status, answer = await self._call("POST", names.PATH_COMMIT, messages.encode(transaction))
+        if status == 200:
+            return messages.decode(messages.Committed, answer).revision
+        if status == 409:
+            refused = messages.decode(messages.Refused, answer)
+            raise Conflict(refused.failed, refused.revision)
+        if status == 400 and b"no such lease" in answer:
+            raise LeaseGone
+        raise Unavailable(f"commit: {status} {answer[:200]!r}")
+
+    async def grant(self, ttl: timedelta) -> int:
+        await self._requests.take(1, Urgency.SESSION)
+        request = messages.GrantRequest(ttl_ms=round(ttl.total_seconds() * 1000))
+        status, answer = await self._call("POST", names.PATH_GRANTS, messages.encode(request))
+        if status != 200:
+            raise Unavailable(f"grant: {status}")
+        return messages.decode(messages.Granted, answer).lease
+
+    async def extend(self, lease: int) -> None:
+        await self._requests.take(1, Urgency.SESSION)
+        status, _ = await self._call("POST", f"{names.PATH_GRANTS}/{lease}{names.PATH_EXTEND}", b"{}")
+        if status == 404:
+            raise LeaseGone
+        if status != 200:
+            raise Unavailable(f"extend: {status}")
--- /dev/null
+++ b/gingerspar/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP server and client, and the link between controllers."""
