--- a/gingerspar/cli.py
+++ b/gingerspar/cli.py
@@ -6,7 +6,7 @@
 import sys
 from datetime import timedelta
 from pathlib import Path
-from typing import NoReturn
+from typing import IO, NoReturn
 
 import click
 
@@ -121,7 +121,7 @@
 @main.command()
 @_node
 @click.argument("job", type=click.File("rb"))
-def submit(node: str, job: click.utils.LazyFile) -> None:
+def submit(node: str, job: IO[bytes]) -> None:
     """Submit the job described in the JSON file JOB (- for standard input)."""
     _ask(node, "POST", names.PATH_JOBS, job.read())
 
