--- a/gingerspar/coordination/dispatcher.py
+++ b/gingerspar/coordination/dispatcher.py
@@ -44,6 +44,7 @@
 NO_GRACE = timedelta(0)
 MOST_BACKOFF = timedelta(seconds=20)
 FIRST_BACKOFF = timedelta(seconds=1)
+PREEMPT_AFTER = timedelta(seconds=1.5)  # a gang waits this long for room to come by itself
 SICK_TASKS = 2  # failures without a success in between that make a machine suspect
 MOST_COMMANDS = 300  # in one answer, which has to stay below 64 KiB
 
@@ -240,6 +241,7 @@
         state = REPORTED[task.status]
         if placement.state is not state:
             placement.move(state, now)
+            log.debug("%s on %s is %s", placement.name, placement.machine.name, state.value)
         if state in (TaskState.RUNNING, TaskState.WAITING, TaskState.SAVING):
             placement.machine.remember_image(placement.spec.image, placement.spec.image_gb)
 
@@ -411,6 +413,7 @@
             if placement.state is TaskState.PLANNED:
                 placement.move(TaskState.SENT, now)
                 placement.answered = (report.session, report.seq)
+                log.debug("run %s attempt %d on %s", placement.name, placement.attempt, machine.name)
                 found.append(Command(Verb.RUN, placement.name, placement.attempt))
             elif placement.stop is not None:
                 if placement.state is TaskState.SENT and placement.answered >= (report.session, report.seq):
@@ -526,6 +529,8 @@
         """Gives places to open tasks, by priority, then earliest due."""
         self.dirty = False
         ready = [m for m in self.machines.values() if m.state is MachineState.READY and m.rostered]
+        for machine in ready:
+            machine.booked = Usage()
         for run in self.waiting_runs(now):
             if run.spec.shape is Shape.GANG:
                 self._place_gang(run, ready, now)
@@ -538,13 +543,87 @@
             return
         if self.team_room(spec) < spec.tasks:
             return
-        found = placing.choose_all(spec, placing.candidates(spec, self._fit_for(run, ready)), spec.tasks)
-        if found is None or run.record.attempt <= run.used_attempt:
+        fitting = placing.candidates(spec, self._fit_for(run, ready))
+        found = placing.choose_all(spec, fitting, spec.tasks, placing.Scorer(spec, self.types))
+        if found is None:
+            self._make_room(run, ready, now)
+            return
+        if run.record.attempt <= run.used_attempt:
+            for machine in found:
+                machine.booked.add(spec)  # the new attempt is on its way
             return
         run.set_gang(GangState.PLACED)
         for number, machine in enumerate(found):
             self._plan(run, number, machine, now)
 
+    def _make_room(self, run: JobRun, ready: list[Machine], now: timedelta) -> None:
+        """Stops work of lower priority for a gang that fits nowhere, and keeps its room free.
+
+        What is lost least goes first. Room is kept whether or not it is there yet, so
+        that small tasks don't take it away piece by piece.
+        """
+        spec = run.spec
+        if run.first_open is None or now - run.first_open < PREEMPT_AFTER:
+            return
+        room: list[tuple[float, str, Machine, list[Placement]]] = []
+        for machine in self._fit_for(run, ready):
+            if placing.allows(spec, machine.type, machine.zone, machine.spot):
+                room += self._room_by_stopping(run, machine, now)
+        room.sort(key=lambda slot: slot[:2])
+        if spec.one_zone:
+            zones = {machine.zone for _, _, machine, _ in room}
+            counts = {zone: sum(slot[2].zone == zone for slot in room) for zone in zones}
+            best = max(counts, key=lambda zone: (counts[zone], zone), default="")
+            room = [slot for slot in room if slot[2].zone == best]
+        if len(room) < spec.tasks or spec.spread:
+            return
+        for _, _, machine, victims in room[: spec.tasks]:
+            machine.booked.add(spec)
+            for victim in victims:
+                if victim.stop is None:
+                    log.info("stopping %s on %s to make room for %s", victim.name, machine.name, spec.job)
+                    grace = victim.spec.save_time if victim.spec.checkpoint_s else NO_GRACE
+                    theirs = self.runs[victim.job]
+                    if theirs.spec.shape is Shape.GANG:
+                        self.stop_run(theirs, grace, now)
+                    else:
+                        self._stop(victim, grace, now)
+
+    def _room_by_stopping(
+        self, run: JobRun, machine: Machine, now: timedelta
+    ) -> list[tuple[float, str, Machine, list[Placement]]]:
+        """Places for tasks of the job on one machine, each with what must be stopped for it."""
+        kind = machine.kind
+        if kind is None:
+            return []
+        spec = run.spec
+        victims = [p for p in machine.live.values() if p.spec.priority.rank > spec.priority.rank]
+        victims.sort(key=lambda p: (p.stop is None, _lost_work(p, now)))
+        free = [
+            kind.cpus - machine.used.cpus - machine.booked.cpus,
+            kind.gpus - machine.used.gpus - machine.booked.gpus,
+            kind.memory_gb - machine.used.memory_gb - machine.booked.memory_gb,
+        ]
+        need = (spec.cpus, spec.gpus, spec.memory_gb)
+        found: list[tuple[float, str, Machine, list[Placement]]] = []
+        chosen: list[Placement] = []
+        lost = 0.0
+        while len(found) < spec.tasks:
+            if all(have + 1e-9 >= want for have, want in zip(free, need, strict=True)):
+                free = [have - want for have, want in zip(free, need, strict=True)]
+                found.append((lost, machine.name, machine, chosen))
+                chosen = []
+            elif victims:
+                victim = victims.pop(0)
+                chosen.append(victim)
+                if victim.stop is None:
+                    lost += 1.0 + _lost_work(victim, now)
+                theirs = victim.spec
+                free = [free[0] + theirs.cpus, free[1] + theirs.gpus, free[2] + theirs.memory_gb]
+            else:
+                break
+        return found
+
     def needs_attempt(self, run: JobRun) -> bool:
         """A gang whose attempt may have been used needs a new one before it starts."""
         return (
@@ -565,13 +644,14 @@
             return
         fitting = placing.candidates(spec, self._fit_for(run, ready))
         bound = spec.one_zone or spec.spread
+        scorer = placing.Scorer(spec, self.types)
         for number in list(run.open):
             if room <= 0 or not fitting:
                 break
             key = (spec.job, number, attempt)
             # A machine that still lists this attempt as exited would ignore its `run`.
             usable = [machine for machine in fitting if key not in machine.exited]
-            machine = placing.choose(spec, usable, run.live if bound else ())
+            machine = placing.choose(spec, usable, run.live if bound else (), scorer)
             if machine is None:
                 if bound:
                     break
@@ -602,6 +682,15 @@
         return counts
 
 
+def _lost_work(placement: Placement, now: timedelta) -> float:
+    """Resource seconds that a stop throws away, fetched image included."""
+    spec = placement.spec
+    seconds = (now - (placement.running_since or placement.since)).total_seconds()
+    if spec.checkpoint_s:
+        seconds = spec.save_s
+    return seconds * (spec.cpus + 10 * spec.gpus)
+
+
 def _stranger(job: str) -> JobSpec:
     """Stands for a job that no record tells of."""
     return JobSpec(
--- a/gingerspar/coordination/fleet.py
+++ b/gingerspar/coordination/fleet.py
@@ -13,6 +13,7 @@
 MOST_RENTED_AT_ONCE = 50
 FIRST_REFUSAL = timedelta(seconds=4)
 MOST_REFUSAL = timedelta(seconds=30)
+LEAST_PATIENCE = 0.1  # of the operators' idle_return_s, for the dearest machines
 LEAST_CHARGE = timedelta(seconds=60)  # a deleted machine costs at least this (PROTOCOL)
 
 
@@ -138,6 +139,30 @@
     return best
 
 
+def patience_for(dispatcher: Dispatcher, machine: Machine, patience: timedelta) -> timedelta:
+    """How long a machine may idle: the dearer its places, the shorter.
+
+    Measured against the cheapest machine that could do the same work.
+    """
+    kind = machine.kind
+    if kind is None:
+        return patience
+    specs = {run.spec.jobclass: run.spec for run in dispatcher.runs.values()}
+    best = 0.0
+    for spec in specs.values():
+        mine = placing.slot_cost(kind, machine.spot, spec)
+        if not placing.allows(spec, machine.type, machine.zone, machine.spot) or mine == float("inf"):
+            continue
+        others = (
+            placing.slot_cost(other, spot, spec)
+            for other in dispatcher.types.values()
+            for spot in (False, True)
+            if spec.spot or not spot
+        )
+        best = max(best, min(others) / max(mine, 1e-9))
+    return patience * max(best, LEAST_PATIENCE)
+
+
 def idle(dispatcher: Dispatcher, now: timedelta, patience: timedelta) -> list[Machine]:
     """Machines to give back: nothing runs on them and nothing has for a while."""
     found: list[Machine] = []
@@ -147,7 +172,8 @@
         ):
             found.append(machine)
         elif machine.state is MachineState.READY and not machine.live and machine.idle_since is not None:
-            if now - machine.idle_since >= patience and not _needed(dispatcher, machine, now):
+            longest = patience_for(dispatcher, machine, patience)
+            if now - machine.idle_since >= longest and not _needed(dispatcher, machine, now):
                 found.append(machine)
         elif machine.state is MachineState.BOOTING:
             startup = timedelta(seconds=machine.kind.boot_s if machine.kind is not None else 60)
--- a/gingerspar/coordination/frontdoor.py
+++ b/gingerspar/coordination/frontdoor.py
@@ -163,6 +163,7 @@
         if fresh is None:
             return problem(503, "not accepted yet", 1)
         if fresh:
+            log.debug("accepted %s %s %s tasks=%d", spec.job, spec.jobclass, spec.image, spec.tasks)
             return self._state(201, spec.job, JobStatus.PENDING)
         known = self._view.status_of(spec.job)
         return self._state(200, spec.job, known) if known is not None else problem(503, "try again", 1)
--- a/gingerspar/coordination/ledger.py
+++ b/gingerspar/coordination/ledger.py
@@ -140,7 +140,7 @@
     errors: dict[str, int] = field(default_factory=dict)  # failed tasks by job since the last success
     suspect_until: timedelta | None = None
     why_leaving: str = ""
-    booked: int = 0
+    booked: Usage = field(default_factory=Usage)  # kept for a job of higher priority, this time round
 
     def move(self, state: MachineState) -> None:
         """The only place where a machine's state changes."""
@@ -169,9 +169,9 @@
             return 0
         fits = 1_000_000
         for have, used, need in (
-            (kind.cpus, self.used.cpus, spec.cpus),
-            (kind.gpus, self.used.gpus, spec.gpus),
-            (kind.memory_gb, self.used.memory_gb, spec.memory_gb),
+            (kind.cpus, self.used.cpus + self.booked.cpus, spec.cpus),
+            (kind.gpus, self.used.gpus + self.booked.gpus, spec.gpus),
+            (kind.memory_gb, self.used.memory_gb + self.booked.memory_gb, spec.memory_gb),
         ):
             if need > 0:
                 fits = min(fits, int((have - used) / need + 1e-9))
--- a/gingerspar/coordination/placement.py
+++ b/gingerspar/coordination/placement.py
@@ -1,10 +1,11 @@
 """Where a task goes: pure functions over the ledger."""
 
+import math
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from gingerspar.coordination.ledger import Machine, MachineState, Placement
-from gingerspar.protocol.messages import JobSpec
+from gingerspar.protocol.messages import JobSpec, MachineType
 
 
 def allows(spec: JobSpec, type_name: str, zone: str, spot: bool) -> bool:
@@ -16,34 +17,71 @@
     return spec.spot or not spot
 
 
-def emptiness(machine: Machine, spec: JobSpec, copies: int = 1) -> float:
+def slots(kind: MachineType, spec: JobSpec) -> int:
+    """Tasks of this kind that an empty machine takes."""
+    fits = 1_000_000
+    for have, need in ((kind.cpus, spec.cpus), (kind.gpus, spec.gpus), (kind.memory_gb, spec.memory_gb)):
+        if need > 0:
+            fits = min(fits, int(have / need + 1e-9))
+    return fits
+
+
+def slot_cost(kind: MachineType, spot: bool, spec: JobSpec) -> float:
+    """What a place for one task costs an hour on a machine that is full of them."""
+    fits = slots(kind, spec)
+    return kind.cost(spot) / fits if fits else math.inf
+
+
+def emptiness(machine: Machine, spec: JobSpec) -> float:
     """How much of the machine is left once the task is there: the fullest machine has the least.
 
     Accelerators count for more, so work without them keeps off machines that have them.
     """
     kind = machine.kind
     assert kind is not None
-    left = (kind.cpus - machine.used.cpus - copies * spec.cpus) / max(kind.cpus, 1e-9)
-    left += 0.5 * (kind.memory_gb - machine.used.memory_gb - copies * spec.memory_gb) / max(kind.memory_gb, 1e-9)
+    left = (kind.cpus - machine.used.cpus - spec.cpus) / max(kind.cpus, 1e-9)
+    left += 0.5 * (kind.memory_gb - machine.used.memory_gb - spec.memory_gb) / max(kind.memory_gb, 1e-9)
     if kind.gpus:
-        gpus_left = (kind.gpus - machine.used.gpus - copies * spec.gpus) / kind.gpus
-        left += 2.0 * gpus_left + (2.0 if not spec.gpus else 0.0)
+        left += 2.0 * (kind.gpus - machine.used.gpus - spec.gpus) / kind.gpus
     return left
 
 
 IMAGE_BONUS = 0.5
-
-
-def rank(machine: Machine, spec: JobSpec) -> tuple[float, str]:
-    """Least is best. The image counts where machines are about as full."""
-    score = emptiness(machine, spec)
-    if spec.image in machine.images:
-        score -= IMAGE_BONUS
-    elif any(p.spec.image == spec.image for p in machine.live.values()):
-        score -= 0.6 * IMAGE_BONUS
-    if spec.spot and not machine.spot:
-        score += 0.05
-    return (score, machine.name)
+PRICE_WEIGHT_IDLE = 1.0  # per doubling of the price of a place, on a machine that could go back
+PRICE_WEIGHT_USED = 0.15  # ... and on one that is kept by other tasks anyway
+
+
+class Scorer:
+    """Ranks machines for one job: least is best."""
+
+    def __init__(self, spec: JobSpec, types: Mapping[str, MachineType]) -> None:
+        self._spec = spec
+        costs = [
+            slot_cost(kind, spot, spec) for kind in types.values() for spot in (False, True) if spec.spot or not spot
+        ]
+        self._cheapest = max(min(costs, default=1.0), 1e-9)
+        self._dear: dict[tuple[str, bool], float] = {}
+
+    def dearness(self, machine: Machine) -> float:
+        """Doublings of the price of a place, from the cheapest that the catalog offers."""
+        key = (machine.type, machine.spot)
+        known = self._dear.get(key)
+        if known is None:
+            assert machine.kind is not None
+            ratio = slot_cost(machine.kind, machine.spot, self._spec) / self._cheapest
+            known = self._dear[key] = max(math.log2(max(ratio, 1e-9)), 0.0) if math.isfinite(ratio) else 20.0
+        return known
+
+    def rank(self, machine: Machine) -> tuple[float, str]:
+        """The machine left fullest; price and image decide where that differs little."""
+        spec = self._spec
+        score = emptiness(machine, spec)
+        score += self.dearness(machine) * (PRICE_WEIGHT_USED if machine.live else PRICE_WEIGHT_IDLE)
+        if spec.image in machine.images:
+            score -= IMAGE_BONUS
+        elif any(placement.spec.image == spec.image for placement in machine.live.values()):
+            score -= 0.6 * IMAGE_BONUS
+        return (score, machine.name)
 
 
 def candidates(spec: JobSpec, machines: Iterable[Machine]) -> list[Machine]:
@@ -73,34 +111,36 @@
     return {zone: half - count for zone, count in used.items()}
 
 
-def choose(spec: JobSpec, machines: Sequence[Machine], others: Iterable[Placement]) -> Machine | None:
+def choose(spec: JobSpec, machines: Sequence[Machine], others: Iterable[Placement], scorer: Scorer) -> Machine | None:
     """The machine left fullest for one task."""
     room = zone_room(spec, others)
     if room is not None:
         fallback = 0 if spec.one_zone and room else (spec.tasks + 1) // 2
         machines = [machine for machine in machines if room.get(machine.zone, fallback) > 0]
-    return min(machines, key=lambda machine: rank(machine, spec), default=None)
+    return min(machines, key=scorer.rank, default=None)
 
 
-def choose_all(spec: JobSpec, machines: Sequence[Machine], count: int) -> list[Machine] | None:
+def choose_all(spec: JobSpec, machines: Sequence[Machine], count: int, scorer: Scorer) -> list[Machine] | None:
     """A machine for each of ``count`` tasks at once, or None."""
     if spec.one_zone:
         best: list[Machine] | None = None
         best_score = float("inf")
         for zone in sorted({machine.zone for machine in machines}):
-            found = _fill(spec, [machine for machine in machines if machine.zone == zone], count, count)
+            found = _fill(spec, [machine for machine in machines if machine.zone == zone], count, count, scorer)
             if found is not None:
-                score = sum(rank(machine, spec)[0] for machine in found)
+                score = sum(scorer.rank(machine)[0] for machine in found)
                 if score < best_score:
                     best, best_score = found, score
         return best
-    return _fill(spec, machines, count, (spec.tasks + 1) // 2 if spec.spread else count)
+    return _fill(spec, machines, count, (spec.tasks + 1) // 2 if spec.spread else count, scorer)
 
 
-def _fill(spec: JobSpec, machines: Sequence[Machine], count: int, most_per_zone: int) -> list[Machine] | None:
+def _fill(
+    spec: JobSpec, machines: Sequence[Machine], count: int, most_per_zone: int, scorer: Scorer
+) -> list[Machine] | None:
     found: list[Machine] = []
     zones: Counter[str] = Counter()
-    for machine in sorted(machines, key=lambda machine: rank(machine, spec)):
+    for machine in sorted(machines, key=scorer.rank):
         take = min(machine.room_for(spec), count - len(found), most_per_zone - zones[machine.zone])
         found += [machine] * max(take, 0)
         zones[machine.zone] += max(take, 0)
