--- a/gingerspar/coordination/command.py
+++ b/gingerspar/coordination/command.py
@@ -300,7 +300,7 @@
             else:
                 return  # what it rented all the same shows in the list
             now = self._clock.now()
-            log.info("rented %d of %d %s in %s, spot=%s", len(names), count, type_name, zone, spot)
+            log.info("rented %d of %d %s in %s, spot=%s: %s", len(names), count, type_name, zone, spot, " ".join(names))
             for name in names:
                 if name not in self.dispatcher.machines:
                     self.dispatcher.add_machine(name, type_name, zone, spot, now, MachineState.BOOTING)
--- a/gingerspar/coordination/dispatcher.py
+++ b/gingerspar/coordination/dispatcher.py
@@ -316,6 +316,8 @@
         self._gang_lost_one(run, now)
 
     def _gone(self, placement: Placement, now: timedelta) -> None:
+        if not placement.live:
+            return  # its gang was taken apart while its machine's tasks were gone through
         placement.move(TaskState.GONE, now)
         run = self._leave(placement)
         self._gang_lost_one(run, now)
