No term change for one stray worker; routine work leaves accelerators' processors free

Cause: a first worker at a follower made it take the term (machines then unsettled for ~40 s), and 1-CPU tasks held the processors of dear GPU machines. Booting machines no longer go on the roster.

--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -77,7 +77,7 @@
         self._counts: dict[str, int] = {}
         self._started = self._clock.now()
         self._term_seen = self._started
-        self._resigned: int = 0
+        self._lonely_since: timedelta | None = None
         self._view.on_term.append(self._term_changed)
         self._claims.reachable = self._dispatcher_reachable
         self._claims.dispatching = self._dispatching
@@ -188,6 +188,15 @@
             self._visits.popleft()
         return len({machine for _, machine in self._visits})
 
+    def _lonely(self, holder: str | None) -> timedelta | None:
+        """Since when workers have come here while the holder says that none reach it."""
+        news = self._news.get(holder) if holder is not None else None
+        if news is None or news.workers > 0 or self._recent_workers() == 0 or not self._peer_heard(holder or ""):
+            self._lonely_since = None
+        elif self._lonely_since is None:
+            self._lonely_since = self._clock.now()
+        return self._lonely_since
+
     def _knowledge(self) -> Knowledge:
         term = self._view.term
         record = term[0] if term is not None else None
@@ -206,6 +215,7 @@
             started=self._started,
             live_nodes=list(self._view.nodes),
             peers=self._news,
+            lonely_since=self._lonely(holder),
             link_up=holder in self._news and holder is not None and self._link.up(holder),
         )
 
--- a/gingerspar/coordination/command.py
+++ b/gingerspar/coordination/command.py
@@ -216,7 +216,8 @@
             new = [
                 machine
                 for machine in self.dispatcher.machines.values()
-                if not machine.rostered and machine.state not in (MachineState.RETURNING, MachineState.GONE)
+                # Only machines that have reported: one that still boots would be unsettled in a new term.
+                if not machine.rostered and machine.state in (MachineState.READY, MachineState.LEAVING)
             ][: self._client.most_puts]
             if not new or term is None or term[0].term != self.dispatcher.term:
                 continue
@@ -304,7 +305,6 @@
             for name in names:
                 if name not in self.dispatcher.machines:
                     self.dispatcher.add_machine(name, type_name, zone, spot, now, MachineState.BOOTING)
-            self._roster_wake.set()
             if len(names) < count:
                 self._refusals.refused(offer, now)
             else:
@@ -350,7 +350,6 @@
                         machine = self.dispatcher.add_machine(
                             entry.machine, entry.type, entry.zone, entry.spot, now, MachineState.BOOTING
                         )
-                        self._roster_wake.set()
                     elif entry.status is not MachineStatus.FAILED:
                         continue
                 failed = entry.status is MachineStatus.FAILED
--- a/gingerspar/coordination/dispatcher.py
+++ b/gingerspar/coordination/dispatcher.py
@@ -118,6 +118,7 @@
         self.machines: dict[str, Machine] = {}
         self.runs: dict[str, JobRun] = {}
         self.usage: dict[str, Usage] = {team: Usage() for team in self.teams}
+        self.accelerated: dict[str, JobSpec] = {}  # by class: what uses accelerators here
         self.dirty = True
         self.wake: Callable[[Machine], None] = lambda machine: None
         self.finish_wanted: Callable[[], None] = lambda: None
@@ -145,6 +146,8 @@
             run.open = SortedSet(finished.missing())
             run.first_open = now
             self.runs[job] = run
+            if run.spec.gpus:
+                self.accelerated[run.spec.jobclass] = run.spec
         run.record = record
         if record.claim_term < self.term:
             # Claimed under an older holder, who may have started this attempt.
@@ -645,6 +648,8 @@
         if room <= 0:
             return
         fitting = placing.candidates(spec, self._fit_for(run, ready))
+        if not spec.gpus and spec.priority.rank > Priority.HIGH.rank and self.accelerated:
+            fitting = self._beside_accelerated(spec, fitting)
         bound = spec.one_zone or spec.spread
         scorer = placing.Scorer(spec, self.types)
         for number in list(run.open):
@@ -660,8 +665,33 @@
                 continue
             self._plan(run, number, machine, now)
             room -= 1
-            if machine.room_for(spec) <= 0:
-                fitting.remove(machine)
+            if machine.room_for(spec) <= 0 or (machine.kind is not None and machine.kind.gpus and not spec.gpus):
+                fitting = [other for other in fitting if other is not machine or self._spare(spec, machine)]
+
+    def _beside_accelerated(self, spec: JobSpec, machines: list[Machine]) -> list[Machine]:
+        """Keeps routine work from taking the processors that free accelerators need.
+
+        Unless no machine without accelerators can do it at all.
+        """
+        if not any(not kind.gpus and placing.slots(kind, spec) for kind in self.types.values()):
+            return machines
+        return [machine for machine in machines if self._spare(spec, machine)]
+
+    def _spare(self, spec: JobSpec, machine: Machine) -> bool:
+        """Room for the task besides what tasks on the machine's free accelerators would take."""
+        kind = machine.kind
+        if kind is None or machine.room_for(spec) <= 0:
+            return False
+        if not kind.gpus or spec.gpus:
+            return True
+        for other in self.accelerated.values():
+            count = machine.room_for(other)
+            if spec.cpus + other.cpus * count > kind.cpus - machine.used.cpus - machine.booked.cpus + 1e-9:
+                return False
+            memory = kind.memory_gb - machine.used.memory_gb - machine.booked.memory_gb
+            if spec.memory_gb + other.memory_gb * count > memory + 1e-9:
+                return False
+        return True
 
     def _fit_for(self, run: JobRun, ready: list[Machine]) -> list[Machine]:
         """Without the machines where this job failed while it ran well elsewhere."""
--- a/gingerspar/coordination/placement.py
+++ b/gingerspar/coordination/placement.py
@@ -48,7 +48,7 @@
 
 IMAGE_BONUS = 0.5
 PRICE_WEIGHT_IDLE = 1.0  # per doubling of the price of a place, on a machine that could go back
-PRICE_WEIGHT_USED = 0.15  # ... and on one that is kept by other tasks anyway
+PRICE_WEIGHT_USED = 0.4  # ... and on one that is kept by other tasks anyway
 
 
 class Scorer:
--- a/gingerspar/coordination/term.py
+++ b/gingerspar/coordination/term.py
@@ -68,7 +68,7 @@
     live_nodes: list[str] = field(default_factory=list)  # with an open session
     peers: dict[str, PeerNews] = field(default_factory=dict)
     link_up: bool = False  # to the holder
-    stateless_since: timedelta | None = None
+    lonely_since: timedelta | None = None  # since then workers come here and none to the holder
 
 
 FRESH = timedelta(seconds=1.5)
@@ -106,8 +106,9 @@
         return _in_turn(k, "the holder has no state service", k.now - (news.state_age - STALE_HOLDER))
     if not news.dispatching and news.term >= k.term:
         return _in_turn(k, "the holder gave up", k.now - silence)
-    if news.workers == 0 and k.workers > 0 and k.now - k.term_seen > NO_WORKERS:
-        return _in_turn(k, "workers reach this node and not the holder", k.term_seen + NO_WORKERS)
+    # For a while, not at one moment: a first worker comes here before it is steered there.
+    if k.lonely_since is not None and k.now - max(k.lonely_since, k.term_seen) > NO_WORKERS:
+        return _in_turn(k, "workers reach this node and not the holder", k.lonely_since + NO_WORKERS)
     return None
 
 
--- /dev/null
+++ b/tests/test_term.py
@@ -0,0 +1,88 @@
+"""When a node takes the term, case by case."""
+
+from datetime import timedelta
+
+import pytest
+
+from gingerspar.coordination.term import Knowledge, PeerNews, authority_span, reason_to_raise, settle_span
+from gingerspar.protocol.settings import WorkerFacts
+
+NOW = timedelta(seconds=100)
+
+
+def s(seconds: float) -> timedelta:
+    return timedelta(seconds=seconds)
+
+
+def knowledge(**changes: object) -> Knowledge:
+    """A follower n2 that hears the holder n1 well; all is as it should be."""
+    base: dict[str, object] = {
+        "now": NOW,
+        "node": "n2",
+        "state_age": s(0.1),
+        "session_open": True,
+        "term": 4,
+        "holder": "n1",
+        "holder_session_alive": True,
+        "holder_is_this_process": False,
+        "workers": 0,
+        "term_seen": s(10),
+        "started": s(0),
+        "live_nodes": ["n1", "n2", "n3"],
+        "peers": {"n1": news()},
+        "link_up": True,
+    }
+    return Knowledge(**{**base, **changes})  # type: ignore[arg-type]
+
+
+def news(age: float = 0.2, state_age: float = 0.1, workers: int = 8, dispatching: bool = True) -> PeerNews:
+    return PeerNews(NOW - s(age), 4, dispatching, s(state_age), workers)
+
+
+CASES = {
+    "all is well": ({}, False),
+    "nobody holds the term": ({"term": 0, "holder": None, "live_nodes": ["n2"]}, True),
+    "this node's former process held it": ({"holder": "n2", "peers": {}}, True),
+    "it is held here": ({"holder": "n2", "holder_is_this_process": True}, False),
+    "the holder is dead": ({"holder_session_alive": False, "peers": {"n1": news(age=7)}, "link_up": False}, True),
+    "the holder renews its session": ({"holder_session_alive": False}, False),
+    "the holder is silent, but its session lives and no worker comes here": (
+        {"peers": {"n1": news(age=5)}, "link_up": False},
+        False,
+    ),
+    "the holder is silent and its workers come here": (
+        {"peers": {"n1": news(age=5)}, "link_up": False, "workers": 3},
+        True,
+    ),
+    "the holder has lost the state service, this node has not": ({"peers": {"n1": news(state_age=6)}}, True),
+    "nobody has the state service": ({"peers": {"n1": news(state_age=6)}, "state_age": s(6)}, False),
+    # A spurious change of term on a quiet day: one new worker came here first.
+    "a first worker comes here just now": (
+        {"peers": {"n1": news(workers=0)}, "workers": 1, "lonely_since": s(99.5)},
+        False,
+    ),
+    "workers have reached only this node for a while": (
+        {"peers": {"n1": news(workers=0)}, "workers": 4, "lonely_since": s(92)},
+        True,
+    ),
+}
+
+
+@pytest.mark.parametrize("case", CASES)
+def test_reason_to_raise(case: str) -> None:
+    changes, raises = CASES[case]
+    assert (reason_to_raise(knowledge(**changes)) is not None) == raises
+
+
+def test_nodes_try_one_after_the_other() -> None:
+    dead = {"holder_session_alive": False, "peers": {"n1": news(age=7)}, "term_seen": s(99.9)}
+    assert reason_to_raise(knowledge(**dead, node="n2")) is not None
+    assert reason_to_raise(knowledge(**dead, node="n3")) is None
+
+
+def test_a_cancelled_task_dies_in_time_behind_any_cut() -> None:
+    """Whatever was answered at the end of the authority ends with the worker's lease, before cancel_s."""
+    for lease, cancel in ((18, 43), (16, 36), (5, 12)):
+        workers = WorkerFacts(report_s=2, lease_s=lease, cancel_s=cancel)
+        assert authority_span(workers) + s(lease * 1.001) < s(cancel)
+        assert settle_span(workers) > authority_span(workers) + s(lease)
