--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -17,7 +17,14 @@
 from gingerspar.coordination.frontdoor import FrontDoor, problem
 from gingerspar.coordination.reconciler import Reconciler
 from gingerspar.coordination.session import Session
-from gingerspar.coordination.term import Knowledge, PeerNews, TermState, authority_span, reason_to_raise
+from gingerspar.coordination.term import (
+    Knowledge,
+    PeerNews,
+    TermState,
+    authority_span,
+    reason_to_raise,
+    reason_to_resign,
+)
 from gingerspar.protocol import messages, names, peers
 from gingerspar.protocol.messages import KeyVersion, MachineType, Malformed, Put, Report, Steer, Transaction
 from gingerspar.protocol.settings import OperatorSettings, Settings
@@ -78,6 +85,8 @@
         self._started = self._clock.now()
         self._term_seen = self._started
         self._lonely_since: timedelta | None = None
+        self._resigned_since = self._started
+        self._own_term = 0  # the last one that this process held
         self._view.on_term.append(self._term_changed)
         self._claims.reachable = self._dispatcher_reachable
         self._claims.dispatching = self._dispatching
@@ -146,14 +155,22 @@
         self._visits.append((now, report.machine))
         if self._post is not None and self._authority():
             return await self._post.report(request, report)
-        term = self._view.term
-        if term is None or self._post is not None:
+        if self._post is not None:
             return problem(503, "not entitled")
-        holder = term[0].holder
-        if holder == self._node or not self._peer_heard(holder):
+        holder = self._known_holder()
+        if holder is None or holder == self._node or not self._peer_heard(holder):
             return Answer(421, messages.encode(Steer()))
         return Answer(421, messages.encode(Steer(holder)))
 
+    def _known_holder(self) -> str | None:
+        """The newest holder that the view or a peer tells of."""
+        term = self._view.term
+        number, holder = (term[0].term, term[0].holder) if term is not None else (0, None)
+        for node, news in self._news.items():
+            if news.dispatching and news.term > number:
+                number, holder = news.term, node
+        return holder
+
     # -- term -----------------------------------------------------------------
 
     def _authority(self) -> bool:
@@ -171,12 +188,17 @@
         term = self._view.term
         post = self._post
         if post is not None and term is not None and term[0].term > post.dispatcher.term:
-            self._move_term(TermState.FOLLOWING)
-            self._post = None
-            post.stop()
+            self._end_post()
         if self._post is None:
             self._counts = {}
 
+    def _end_post(self) -> None:
+        post, self._post = self._post, None
+        if post is not None:
+            self._resigned_since = self._clock.now()
+            self._move_term(TermState.FOLLOWING)
+            post.stop()
+
     def _move_term(self, state: TermState) -> None:
         """The only place where this node's part in the term changes."""
         log.info("term: %s -> %s", self._term_state.value, state.value)
@@ -188,6 +210,9 @@
             self._visits.popleft()
         return len({machine for _, machine in self._visits})
 
+    def _term_resigned(self, record: TermRecord | None) -> bool:
+        return record is not None and record.holder == self._node and record.term == self._own_term
+
     def _lonely(self, holder: str | None) -> timedelta | None:
         """Since when workers have come here while the holder says that none reach it."""
         news = self._news.get(holder) if holder is not None else None
@@ -210,6 +235,8 @@
             holder=holder,
             holder_session_alive=record is not None and self._view.nodes.get(record.holder) == record.session,
             holder_is_this_process=self._post is not None,
+            resigned=self._term_resigned(record),
+            resigned_since=self._resigned_since,
             workers=self._recent_workers(),
             term_seen=self._term_seen,
             started=self._started,
@@ -224,7 +251,13 @@
             await asyncio.sleep(TERM_CHECK.total_seconds())
             if self._view.phase is not Phase.FOLLOWING:
                 continue
-            why = reason_to_raise(self._knowledge())
+            knowledge = self._knowledge()
+            resigning = reason_to_resign(knowledge)
+            if resigning is not None:
+                log.info("resigning: %s", resigning)
+                self._end_post()
+                continue
+            why = reason_to_raise(knowledge)
             if why is not None:
                 await self._raise_term(why)
 
@@ -275,6 +308,7 @@
             self._tell_finished,
             self._ask_reclaim,
         )
+        self._own_term = number
         self._move_term(TermState.HOLDING)
         self._post.start(self._types)
 
--- a/gingerspar/coordination/term.py
+++ b/gingerspar/coordination/term.py
@@ -68,12 +68,14 @@
     live_nodes: list[str] = field(default_factory=list)  # with an open session
     peers: dict[str, PeerNews] = field(default_factory=dict)
     link_up: bool = False  # to the holder
+    resigned: bool = False  # this process held the current term and gave it up
+    resigned_since: timedelta = timedelta(0)
     lonely_since: timedelta | None = None  # since then workers come here and none to the holder
 
 
 FRESH = timedelta(seconds=1.5)
 SILENT = timedelta(seconds=1.2)
-STALE_HOLDER = timedelta(seconds=3.5)
+STALE_HOLDER = timedelta(seconds=2)
 NO_WORKERS = timedelta(seconds=5)
 STAGGER = timedelta(milliseconds=500)
 SETTLING_IN = timedelta(seconds=4)  # a new holder gets this long before it is judged
@@ -85,8 +87,11 @@
         return None
     if k.term == 0 or k.holder is None:
         return _in_turn(k, "there is no holder", k.started)
-    if k.holder == k.node:
+    if k.holder == k.node and not k.resigned:
         return "the holder was this node's former process"
+    if k.holder == k.node:
+        # It resigned in favour of a peer; unless one follows, it takes the term again.
+        return "no peer took the term" if k.now - k.resigned_since > SETTLING_IN else None
     news = k.peers.get(k.holder)
     silence = k.now - news.heard if news is not None else k.now - k.started
     silent = silence > SILENT
@@ -117,3 +122,19 @@
     others = sorted(set(k.live_nodes) - {k.holder})
     place = others.index(k.node) if k.node in others else len(others)
     return why if k.now - since >= STAGGER * place else None
+
+
+def reason_to_resign(k: Knowledge) -> str | None:
+    """Why the holder should stop answering workers before its authority ends.
+
+    Waiting for the end of its authority would only keep the workers from a peer
+    that can serve them: their reports settle the machines for the next holder.
+    """
+    if not k.holder_is_this_process:
+        return None
+    heard = {node: news for node, news in k.peers.items() if k.now - news.heard <= SILENT}
+    if any(news.term > k.term and news.dispatching for news in heard.values()):
+        return "a peer dispatches under a higher term"
+    if k.state_age > STALE_HOLDER and any(news.state_age < FRESH for news in heard.values()):
+        return "no state service here, and a peer has it"
+    return None
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from gingerspar.coordination.term import Knowledge, PeerNews, authority_span, reason_to_raise, settle_span
+from gingerspar.coordination.term import (
+    Knowledge,
+    PeerNews,
+    authority_span,
+    reason_to_raise,
+    reason_to_resign,
+    settle_span,
+)
 from gingerspar.protocol.settings import WorkerFacts
 
 NOW = timedelta(seconds=100)
@@ -86,3 +93,15 @@
         workers = WorkerFacts(report_s=2, lease_s=lease, cancel_s=cancel)
         assert authority_span(workers) + s(lease * 1.001) < s(cancel)
         assert settle_span(workers) > authority_span(workers) + s(lease)
+
+
+def test_a_holder_resigns_when_a_peer_can_do_better() -> None:
+    """Found on kerlann-fonts' rough day: a holder without state kept all workers for 22 s."""
+    here: dict[str, object] = {"holder": "n2", "holder_is_this_process": True}
+    peer = PeerNews(NOW - s(0.2), 4, False, s(0.1), 0)
+    cut_off_too = PeerNews(NOW - s(0.2), 4, False, s(9), 0)
+    successor = PeerNews(NOW - s(0.2), 5, True, s(0.1), 3)
+    assert reason_to_resign(knowledge(**here, peers={"n1": peer})) is None
+    assert reason_to_resign(knowledge(**here, peers={"n1": cut_off_too}, state_age=s(9))) is None
+    assert reason_to_resign(knowledge(**here, peers={"n1": peer}, state_age=s(3))) is not None
+    assert reason_to_resign(knowledge(**here, peers={"n1": successor})) is not None
