--- a/gingerspar/coordination/dispatcher.py
+++ b/gingerspar/coordination/dispatcher.py
@@ -310,6 +310,7 @@
             self._done(run, placement.number)
         self._leave(placement)
         if cause is Cause.DONE:
+            log.debug("%s attempt %d on %s ended: done", placement.name, placement.attempt, machine.name)
             return
         log.info("%s attempt %d on %s ended: %s", placement.name, placement.attempt, machine.name, cause)
         if cause is Cause.ERROR:
@@ -321,6 +322,7 @@
     def _gone(self, placement: Placement, now: timedelta) -> None:
         if not placement.live:
             return  # its gang was taken apart while its machine's tasks were gone through
+        log.debug("%s attempt %d on %s is gone", placement.name, placement.attempt, placement.machine.name)
         placement.move(TaskState.GONE, now)
         run = self._leave(placement)
         self._gang_lost_one(run, now)
@@ -549,7 +551,7 @@
         if self.team_room(spec) < spec.tasks:
             return
         fitting = placing.candidates(spec, self._fit_for(run, ready))
-        found = placing.choose_all(spec, fitting, spec.tasks, placing.Scorer(spec, self.types))
+        found = placing.choose_all(spec, fitting, spec.tasks, placing.Scorer(spec, self.types, now))
         if found is None:
             self._make_room(run, ready, now)
             return
@@ -651,7 +653,7 @@
         if not spec.gpus and spec.priority.rank > Priority.HIGH.rank and self.accelerated:
             fitting = self._beside_accelerated(spec, fitting)
         bound = spec.one_zone or spec.spread
-        scorer = placing.Scorer(spec, self.types)
+        scorer = placing.Scorer(spec, self.types, now)
         for number in list(run.open):
             if room <= 0 or not fitting:
                 break
--- a/gingerspar/coordination/fleet.py
+++ b/gingerspar/coordination/fleet.py
@@ -6,15 +6,17 @@
 from gingerspar.coordination import placement as placing
 from gingerspar.coordination.dispatcher import Dispatcher, JobRun
 from gingerspar.coordination.ledger import Machine, MachineState
-from gingerspar.protocol.messages import JobSpec, MachineType, Shape
+from gingerspar.protocol.messages import JobSpec, MachineType, Priority, Shape
 
 Offer = tuple[str, str, bool]  # type, zone, spot
 
 MOST_RENTED_AT_ONCE = 50
 FIRST_REFUSAL = timedelta(seconds=4)
 MOST_REFUSAL = timedelta(seconds=30)
-LEAST_PATIENCE = 0.1  # of the operators' idle_return_s, for the dearest machines
-LEAST_CHARGE = timedelta(seconds=60)  # a deleted machine costs at least this (PROTOCOL)
+LEAST_PATIENCE = 0.1  # of the boot time, for machines that nothing here needs
+DEAR = 3.0  # times the price of a place on the cheapest machine
+FULL_ENOUGH = 0.75
+WORTH_ANY_PRICE = timedelta(seconds=20)  # work that has waited so long gets whatever there is
 
 
 @dataclass(slots=True)
@@ -99,7 +101,7 @@
                 there.put(spec, take)
                 left -= take
         while left > 0:
-            best = _cheapest(spec, left, choices, types, refusals, rent, now)
+            best = _cheapest(run, left, choices, types, refusals, rent, now)
             if best is None:
                 break
             fresh = _bin(best, types[best[0]])
@@ -116,7 +118,7 @@
 
 
 def _cheapest(
-    spec: JobSpec,
+    run: JobRun,
     left: int,
     choices: list[Offer],
     types: dict[str, MachineType],
@@ -124,43 +126,47 @@
     rent: dict[Offer, int],
     now: timedelta,
 ) -> Offer | None:
+    spec = run.spec
+    least = min((placing.slot_cost(types[name], spot, spec) for name, _, spot in choices), default=0.0)
+    patient = spec.priority.rank > Priority.HIGH.rank and not (
+        run.first_open is not None and now - run.first_open > WORTH_ANY_PRICE
+    )
     best: Offer | None = None
     best_cost = float("inf")
     for offer in choices:
         if not refusals.open(offer, now) or rent.get(offer, 0) >= MOST_RENTED_AT_ONCE:
             continue
         kind = types[offer[0]]
-        slots = min(_bin(offer, kind).room_for(spec), left)
+        full = placing.slots(kind, spec)
+        slots = min(full, left)
         if slots <= 0:
             continue
         cost = kind.cost(offer[2]) / slots
+        if patient and slots < FULL_ENOUGH * full and cost > DEAR * least:
+            continue  # a dear machine that would stand mostly empty: wait for places here
         if cost < best_cost:
             best, best_cost = offer, cost
     return best
 
 
-def patience_for(dispatcher: Dispatcher, machine: Machine, patience: timedelta) -> timedelta:
-    """How long a machine may idle: the dearer its places, the shorter.
+def patience_for(dispatcher: Dispatcher, machine: Machine, most: timedelta) -> timedelta:
+    """How long a machine may idle.
 
-    Measured against the cheapest machine that could do the same work.
+    Giving it back too soon wastes one boot, keeping it wastes the time kept: its boot
+    time is the even trade. A machine whose places cost more than another's of the same
+    kind (ordinary or spot) is the less likely to be needed again.
     """
     kind = machine.kind
     if kind is None:
-        return patience
+        return most
     specs = {run.spec.jobclass: run.spec for run in dispatcher.runs.values()}
     best = 0.0
     for spec in specs.values():
         mine = placing.slot_cost(kind, machine.spot, spec)
-        if not placing.allows(spec, machine.type, machine.zone, machine.spot) or mine == float("inf"):
-            continue
-        others = (
-            placing.slot_cost(other, spot, spec)
-            for other in dispatcher.types.values()
-            for spot in (False, True)
-            if spec.spot or not spot
-        )
-        best = max(best, min(others) / max(mine, 1e-9))
-    return patience * max(best, LEAST_PATIENCE)
+        if placing.allows(spec, machine.type, machine.zone, machine.spot) and mine != float("inf"):
+            cheapest = min(placing.slot_cost(other, machine.spot, spec) for other in dispatcher.types.values())
+            best = max(best, cheapest / max(mine, 1e-9))
+    return min(most, timedelta(seconds=kind.boot_s) * max(best * best, LEAST_PATIENCE))
 
 
 def idle(dispatcher: Dispatcher, now: timedelta, patience: timedelta) -> list[Machine]:
--- a/gingerspar/coordination/placement.py
+++ b/gingerspar/coordination/placement.py
@@ -3,6 +3,7 @@
 import math
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
+from datetime import timedelta
 
 from gingerspar.coordination.ledger import Machine, MachineState, Placement
 from gingerspar.protocol.messages import JobSpec, MachineType
@@ -47,40 +48,56 @@
 
 
 IMAGE_BONUS = 0.5
-PRICE_WEIGHT_IDLE = 1.0  # per doubling of the price of a place, on a machine that could go back
-PRICE_WEIGHT_USED = 0.4  # ... and on one that is kept by other tasks anyway
+ORDINARY_SURCHARGE = 1.5  # for work that may use spot machines: others need the ordinary ones
+DEAREST = 50.0
+SERVICE_SPAN = timedelta(minutes=5)  # what a task that never ends counts as
+
+
+def run_time(spec: JobSpec) -> timedelta:
+    return spec.estimate if spec.estimate_s > 0 else SERVICE_SPAN
+
+
+def busy_until(machine: Machine, now: timedelta) -> timedelta:
+    """When the machine's present tasks will probably all have ended."""
+    latest = now
+    for placement in machine.live.values():
+        span = run_time(placement.spec)
+        latest = max(latest, (placement.running_since or now) + span, now + span * 0.2)
+    return latest
 
 
 class Scorer:
-    """Ranks machines for one job: least is best."""
+    """Ranks machines for one job: least is best.
 
-    def __init__(self, spec: JobSpec, types: Mapping[str, MachineType]) -> None:
+    The machine left fullest is taken, but first comes what the choice costs: a task
+    that keeps a machine longer than its present tasks do pays for that time, in units
+    of the task's price on the cheapest machine there is.
+    """
+
+    def __init__(self, spec: JobSpec, types: Mapping[str, MachineType], now: timedelta) -> None:
         self._spec = spec
+        self._now = now
+        self._span = run_time(spec)
         costs = [
             slot_cost(kind, spot, spec) for kind in types.values() for spot in (False, True) if spec.spot or not spot
         ]
         self._cheapest = max(min(costs, default=1.0), 1e-9)
-        self._dear: dict[tuple[str, bool], float] = {}
-
-    def dearness(self, machine: Machine) -> float:
-        """Doublings of the price of a place, from the cheapest that the catalog offers."""
-        key = (machine.type, machine.spot)
-        known = self._dear.get(key)
-        if known is None:
-            assert machine.kind is not None
-            ratio = slot_cost(machine.kind, machine.spot, self._spec) / self._cheapest
-            known = self._dear[key] = max(math.log2(max(ratio, 1e-9)), 0.0) if math.isfinite(ratio) else 20.0
-        return known
+
+    def cost(self, machine: Machine) -> float:
+        assert machine.kind is not None
+        longer = self._now + self._span - busy_until(machine, self._now)
+        share = max(longer / self._span, 0.0)
+        return min(share * machine.kind.cost(machine.spot) / self._cheapest, DEAREST)
 
     def rank(self, machine: Machine) -> tuple[float, str]:
-        """The machine left fullest; price and image decide where that differs little."""
         spec = self._spec
-        score = emptiness(machine, spec)
-        score += self.dearness(machine) * (PRICE_WEIGHT_USED if machine.live else PRICE_WEIGHT_IDLE)
+        score = emptiness(machine, spec) + self.cost(machine)
         if spec.image in machine.images:
             score -= IMAGE_BONUS
         elif any(placement.spec.image == spec.image for placement in machine.live.values()):
             score -= 0.6 * IMAGE_BONUS
+        if spec.spot and not machine.spot:
+            score += ORDINARY_SURCHARGE
         return (score, machine.name)
 
 
