--- a/gingerspar/coordination/placement.py
+++ b/gingerspar/coordination/placement.py
@@ -49,7 +49,7 @@
 
 IMAGE_BONUS = 0.5
 ORDINARY_SURCHARGE = 1.5  # for work that may use spot machines: others need the ordinary ones
-DEAREST = 50.0
+COST_WEIGHT = 1.5  # for each doubling; how full a machine is counts from 0 to about 3
 SERVICE_SPAN = timedelta(minutes=5)  # what a task that never ends counts as
 
 
@@ -87,7 +87,7 @@
         assert machine.kind is not None
         longer = self._now + self._span - busy_until(machine, self._now)
         share = max(longer / self._span, 0.0)
-        return min(share * machine.kind.cost(machine.spot) / self._cheapest, DEAREST)
+        return COST_WEIGHT * math.log2(1 + share * machine.kind.cost(machine.spot) / self._cheapest)
 
     def rank(self, machine: Machine) -> tuple[float, str]:
         spec = self._spec
