--- a/gingerspar/coordination/command.py
+++ b/gingerspar/coordination/command.py
@@ -40,6 +40,7 @@
 RECLAIM_AGAIN = timedelta(seconds=1)
 FLEET_INTERVAL = timedelta(seconds=1)
 TICK = timedelta(milliseconds=250)
+SUMMARY = timedelta(seconds=5)
 HOLD_IDLE = timedelta(seconds=2)  # workers give an answer up after 4 s
 HOLD_BUSY = timedelta(milliseconds=200)  # a worker with tasks has news of its own to tell
 
@@ -175,6 +176,7 @@
     # -- decisions ------------------------------------------------------------
 
     async def _decide(self) -> None:
+        said = self._clock.now()
         while True:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._work.wait(), TICK.total_seconds())
@@ -185,6 +187,9 @@
                 if self.dispatcher.types:
                     self.dispatcher.place(now)
                 self._say(now)
+                if log.isEnabledFor(logging.DEBUG) and now - said >= SUMMARY:
+                    said = now
+                    log.debug("%s", self.dispatcher.summary(now))
             except Exception:
                 log.exception("deciding failed")
             await asyncio.sleep(0.015)
--- a/gingerspar/coordination/dispatcher.py
+++ b/gingerspar/coordination/dispatcher.py
@@ -707,6 +707,21 @@
         self._enter(run, placement)
         self.wake(machine)
 
+    def summary(self, now: timedelta) -> str:
+        """One line on what is up, in use and waiting."""
+        waiting = self.waiting_runs(now)
+        claimed = [run for run in self.runs.values() if run.record.status is JobStatus.RUNNING and not run.over]
+        open_claimed = sum(len(run.open) for run in claimed)
+        machines = " ".join(
+            f"{m.name}:{m.state.value[:3]}:{m.used.cpus:g}/{m.used.gpus:g}+{m.booked.cpus:g}/{m.booked.gpus:g}"
+            for m in self.machines.values()
+        )
+        teams = " ".join(f"{name}={used.cpus:g}/{used.gpus:g}" for name, used in self.usage.items())
+        return (
+            f"jobs={len(self.runs)} claimed={len(claimed)} waiting={len(waiting)} "
+            f"tasks={sum(len(run.open) for run in waiting)}/{open_claimed} teams: {teams} machines: {machines}"
+        )
+
     def running_counts(self) -> dict[str, int]:
         counts: dict[str, int] = {}
         for job, run in self.runs.items():
