--- a/gingerspar/coordination/fleet.py
+++ b/gingerspar/coordination/fleet.py
@@ -14,6 +14,7 @@
 FIRST_REFUSAL = timedelta(seconds=4)
 MOST_REFUSAL = timedelta(seconds=30)
 LEAST_PATIENCE = 0.1  # of the boot time, for machines that nothing here needs
+WARMTH = 4  # fetches of an urgent class's image that a cheap machine is kept for
 DEAR = 3.0  # times the price of a place on the cheapest machine
 FULL_ENOUGH = 0.75
 WORTH_ANY_PRICE = timedelta(seconds=20)  # work that has waited so long gets whatever there is
@@ -161,12 +162,17 @@
         return most
     specs = {run.spec.jobclass: run.spec for run in dispatcher.runs.values()}
     best = 0.0
+    warm = timedelta(0)
     for spec in specs.values():
         mine = placing.slot_cost(kind, machine.spot, spec)
         if placing.allows(spec, machine.type, machine.zone, machine.spot) and mine != float("inf"):
             cheapest = min(placing.slot_cost(other, machine.spot, spec) for other in dispatcher.types.values())
-            best = max(best, cheapest / max(mine, 1e-9))
-    return min(most, timedelta(seconds=kind.boot_s) * max(best * best, LEAST_PATIENCE))
+            share = cheapest / max(mine, 1e-9)
+            best = max(best, share)
+            if spec.priority.rank <= Priority.HIGH.rank and share > 0.9 and spec.image:
+                # Urgent work would wait for its images on a machine rented anew.
+                warm = max(warm, timedelta(seconds=spec.image_gb / max(kind.fetch_gb_per_s, 1e-3)))
+    return min(most, timedelta(seconds=kind.boot_s) * max(best * best, LEAST_PATIENCE) + warm * WARMTH)
 
 
 def idle(dispatcher: Dispatcher, now: timedelta, patience: timedelta) -> list[Machine]:
--- a/gingerspar/coordination/placement.py
+++ b/gingerspar/coordination/placement.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable, Mapping, Sequence
 from datetime import timedelta
 
-from gingerspar.coordination.ledger import Machine, MachineState, Placement
-from gingerspar.protocol.messages import JobSpec, MachineType
+from gingerspar.coordination.ledger import Machine, MachineState, Placement, TaskState
+from gingerspar.protocol.messages import JobSpec, MachineType, Priority
 
 
 def allows(spec: JobSpec, type_name: str, zone: str, spot: bool) -> bool:
@@ -47,7 +47,8 @@
     return left
 
 
-IMAGE_BONUS = 0.5
+URGENT_FETCH = 0.6  # for each second that an urgent task would wait for its image
+ROUTINE_FETCH = 3.0  # for a fetch as long as the task itself
 ORDINARY_SURCHARGE = 1.5  # for work that may use spot machines: others need the ordinary ones
 COST_WEIGHT = 1.5  # for each doubling; how full a machine is counts from 0 to about 3
 SERVICE_SPAN = timedelta(minutes=5)  # what a task that never ends counts as
@@ -66,6 +67,22 @@
     return latest
 
 
+def fetch_time(machine: Machine, spec: JobSpec) -> timedelta:
+    """How long the task would wait for its image there; images fetched at once share the rate."""
+    if machine.kind is None or not spec.image or spec.image in machine.images:
+        return timedelta(0)
+    fetching = {
+        placement.spec.image
+        for placement in machine.live.values()
+        if placement.state in (TaskState.PLANNED, TaskState.SENT, TaskState.FETCHING)
+        and placement.spec.image not in machine.images
+    }
+    alone = spec.image_gb / max(machine.kind.fetch_gb_per_s, 1e-3)
+    if spec.image in fetching:
+        return timedelta(seconds=0.6 * alone * len(fetching))
+    return timedelta(seconds=alone * (1 + len(fetching)))
+
+
 class Scorer:
     """Ranks machines for one job: least is best.
 
@@ -92,10 +109,11 @@
     def rank(self, machine: Machine) -> tuple[float, str]:
         spec = self._spec
         score = emptiness(machine, spec) + self.cost(machine)
-        if spec.image in machine.images:
-            score -= IMAGE_BONUS
-        elif any(placement.spec.image == spec.image for placement in machine.live.values()):
-            score -= 0.6 * IMAGE_BONUS
+        fetch = fetch_time(machine, spec)
+        if spec.priority.rank <= Priority.HIGH.rank:
+            score += URGENT_FETCH * fetch.total_seconds()
+        else:
+            score += ROUTINE_FETCH * min(fetch / self._span, 1.0)
         if spec.spot and not machine.spot:
             score += ORDINARY_SURCHARGE
         return (score, machine.name)
--- a/gingerspar/protocol/settings.py
+++ b/gingerspar/protocol/settings.py
@@ -126,7 +126,7 @@
     adoption_window_s: float = 10.0
     claim_batch: int = 8
     sweep_batch: int = 8
-    idle_return_s: float = 45.0
+    idle_return_s: float = 120.0
     result_interval_s: float = 0.3
 
     @property
