--- a/gingerspar/coordination/fleet.py
+++ b/gingerspar/coordination/fleet.py
@@ -154,8 +154,8 @@
     """How long a machine may idle.
 
     Giving it back too soon wastes one boot, keeping it wastes the time kept: its boot
-    time is the even trade. A machine whose places cost more than another's of the same
-    kind (ordinary or spot) is the less likely to be needed again.
+    time is the even trade. A machine whose places cost more than another ordinary
+    machine's is the less likely to be needed again.
     """
     kind = machine.kind
     if kind is None:
@@ -166,8 +166,9 @@
     for spec in specs.values():
         mine = placing.slot_cost(kind, machine.spot, spec)
         if placing.allows(spec, machine.type, machine.zone, machine.spot) and mine != float("inf"):
-            cheapest = min(placing.slot_cost(other, machine.spot, spec) for other in dispatcher.types.values())
-            share = cheapest / max(mine, 1e-9)
+            # Against ordinary machines: a spot machine that was given back is seldom to be had again.
+            cheapest = min(placing.slot_cost(other, False, spec) for other in dispatcher.types.values())
+            share = min(cheapest / max(mine, 1e-9), 1.0)
             best = max(best, share)
             if spec.priority.rank <= Priority.HIGH.rank and share > 0.9 and spec.image:
                 # Urgent work would wait for its images on a machine rented anew.
