--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -44,6 +44,8 @@
 TERM_CHECK = timedelta(milliseconds=100)
 RECENT = timedelta(seconds=3)  # a worker's report counts as recent for so long
 CATALOG_INTERVAL = timedelta(seconds=20)
+RELAY_AFTER = timedelta(seconds=0.8)  # without a read for so long, a peer may serve users better
+RELAY_WAIT = timedelta(seconds=1.7)  # pollers wait 2 s
 LINK_SILENT = timedelta(seconds=1.5)
 
 
@@ -85,6 +87,9 @@
         self._started = self._clock.now()
         self._term_seen = self._started
         self._lonely_since: timedelta | None = None
+        self._relays = 0
+        self._relayed: dict[int, asyncio.Future[Answer]] = {}
+        self._relay_tasks: set[asyncio.Task[None]] = set()
         self._resigned_since = self._started
         self._own_term = 0  # the last one that this process held
         self._view.on_term.append(self._term_changed)
@@ -135,17 +140,59 @@
             return await self._report(request)
         if path == names.PATH_UP and method == "GET":
             return self._door.health()
-        if path == names.PATH_JOBS:
-            return await self._door.submit(request) if method == "POST" else problem(405, "use POST")
-        if path.startswith(names.PATH_JOBS + "/"):
-            rest = path[len(names.PATH_JOBS) + 1 :]
-            if method == "GET":
-                return await self._door.ask(rest)
-            if method == "POST" and rest.endswith(names.PATH_ABORT):
-                return await self._door.cancel(rest[: -len(names.PATH_ABORT)])
-            return problem(405, "use GET, or POST to cancel")
+        if path == names.PATH_JOBS or path.startswith(names.PATH_JOBS + "/"):
+            peer = self._better_peer()
+            if peer is not None:
+                return await self._relay(peer, method, path, request.body)
+            return await self._serve_user(method, path, request.body)
         return problem(404, "no such path")
 
+    async def _serve_user(self, method: str, path: str, body: bytes) -> Answer:
+        if path == names.PATH_JOBS:
+            return await self._door.submit(body) if method == "POST" else problem(405, "use POST")
+        rest = path[len(names.PATH_JOBS) + 1 :]
+        if method == "GET":
+            return await self._door.ask(rest)
+        if method == "POST" and rest.endswith(names.PATH_ABORT):
+            return await self._door.cancel(rest[: -len(names.PATH_ABORT)])
+        return problem(405, "use GET, or POST to cancel")
+
+    # -- users' requests that a peer can serve --------------------------------
+
+    def _better_peer(self) -> str | None:
+        """A peer that has the state service while this node has not."""
+        if self._view.age() < RELAY_AFTER:
+            return None
+        good = [node for node, news in self._news.items() if self._peer_heard(node) and news.state_age < RELAY_AFTER]
+        return min((node for node in good if self._link.up(node)), default=None)
+
+    async def _relay(self, peer: str, method: str, path: str, body: bytes) -> Answer:
+        """Asks the peer over the link; the load balancer takes seconds to steer users elsewhere."""
+        try:
+            text = body.decode()
+        except UnicodeDecodeError:
+            return problem(400, "not JSON")
+        self._relays += 1
+        number = self._relays
+        future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        self._relayed[number] = future
+        try:
+            if not self._link.send(peer, peers.pack(peers.Relay(self._node, number, method, path, text))):
+                return problem(503, "no state service", 1)
+            return await asyncio.wait_for(future, RELAY_WAIT.total_seconds())
+        except TimeoutError:
+            return problem(503, "no state service", 1)
+        finally:
+            del self._relayed[number]
+
+    async def _serve_relay(self, relay: peers.Relay) -> None:
+        # Served here or not at all: a relayed request is never relayed again.
+        answer = await self._serve_user(relay.method, relay.path, relay.body.encode())
+        message = peers.Relayed(
+            self._node, relay.number, answer.status, answer.body.decode(), answer.headers.get("Retry-After")
+        )
+        self._link.send(relay.node, peers.pack(message))
+
     async def _report(self, request: HTTPServerRequest) -> Answer:
         try:
             report = messages.decode(Report, request.body)
@@ -375,6 +422,15 @@
                 self._view.apply(message.key, bytes(message.record), message.version)
             case peers.Finished():
                 self._claims.finished(message.job, message.tasks)
+            case peers.Relay():
+                task = asyncio.ensure_future(self._serve_relay(message))
+                self._relay_tasks.add(task)
+                task.add_done_callback(self._relay_tasks.discard)
+            case peers.Relayed():
+                future = self._relayed.get(message.number)
+                if future is not None and not future.done():
+                    headers = {} if message.retry_after is None else {"Retry-After": message.retry_after}
+                    future.set_result(Answer(message.status, message.body.encode(), headers))
             case peers.Reclaim():
                 self._claims.reclaim(message.job, message.attempt)
 
--- a/gingerspar/coordination/frontdoor.py
+++ b/gingerspar/coordination/frontdoor.py
@@ -12,8 +12,6 @@
 from datetime import timedelta
 from typing import Any
 
-from tornado.httputil import HTTPServerRequest
-
 from gingerspar.coordination.claims import Claims, cancelled
 from gingerspar.protocol import messages
 from gingerspar.protocol.messages import (
@@ -113,9 +111,9 @@
 
     # -- submissions ----------------------------------------------------------
 
-    async def submit(self, request: HTTPServerRequest) -> Answer:
+    async def submit(self, content: bytes) -> Answer:
         try:
-            body = messages.read_json(request.body)
+            body = messages.read_json(content)
         except Malformed as error:
             return problem(400, str(error))
         job = messages.job_id_in(body)
--- a/gingerspar/protocol/peers.py
+++ b/gingerspar/protocol/peers.py
@@ -55,7 +55,27 @@
     attempt: int
 
 
-Message = Heartbeat | Counts | Handover | Finished | Reclaim
+class Relay(msgspec.Struct, tag="relay"):
+    """A user's request that this node can't serve, for a peer that can."""
+
+    node: str
+    number: int
+    method: str
+    path: str
+    body: str
+
+
+class Relayed(msgspec.Struct, tag="relayed"):
+    """What the peer answered."""
+
+    node: str
+    number: int
+    status: int
+    body: str
+    retry_after: str | None = None
+
+
+Message = Heartbeat | Counts | Handover | Finished | Reclaim | Relay | Relayed
 
 _decoder = msgspec.json.Decoder(Message)
 _encoder = msgspec.json.Encoder()
--- a/gingerspar/protocol/settings.py
+++ b/gingerspar/protocol/settings.py
@@ -123,7 +123,6 @@
     """
 
     session_ttl_s: float = 6.0
-    adoption_window_s: float = 10.0
     claim_batch: int = 8
     sweep_batch: int = 8
     idle_return_s: float = 120.0
@@ -133,10 +132,6 @@
     def session_ttl(self) -> timedelta:
         return timedelta(seconds=self.session_ttl_s)
 
-    @property
-    def adoption_window(self) -> timedelta:
-        return timedelta(seconds=self.adoption_window_s)
-
     @property
     def idle_return(self) -> timedelta:
         return timedelta(seconds=self.idle_return_s)
@@ -148,7 +143,6 @@
 
 _RANGES: dict[str, tuple[float, float]] = {
     "session_ttl_s": (1.0, 600.0),
-    "adoption_window_s": (0.0, 600.0),
     "claim_batch": (1, 1000),
     "sweep_batch": (1, 1000),
     "idle_return_s": (0.0, 86400.0),
