Stand-ins and an end-to-end test; direct stops; cancelled tasks count against their team's limit

Direct stops only: executed late they end at worst a task that starts again. Submissions with a missing field are 400.

--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -120,7 +120,16 @@
         tasks = self._link.start(int(peer_port), peer_host)
         tasks += [asyncio.ensure_future(self._forever(loop)) for loop in loops]
         log.info("controller %s listens on %s", self._node, self._settings.listen)
-        await asyncio.gather(*tasks)
+        try:
+            await asyncio.gather(*tasks)
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """Stops listening and speaking at once; for a node that shares its process with others."""
+        self._server.stop()
+        self._link.stop()
+        self._end_post()
 
     async def _forever(self, loop: Coroutine[Any, Any, None]) -> None:
         """A loop that ends by an error would leave a node that only seems alive."""
--- a/gingerspar/coordination/command.py
+++ b/gingerspar/coordination/command.py
@@ -14,9 +14,10 @@
 from gingerspar.coordination.dispatcher import Dispatcher, Outdated, Stale
 from gingerspar.coordination.ledger import Machine, MachineState
 from gingerspar.coordination.session import Session
-from gingerspar.protocol import messages
+from gingerspar.protocol import messages, names
 from gingerspar.protocol.messages import (
     Delete,
+    DirectCommands,
     KeyVersion,
     MachineStatus,
     MachineType,
@@ -31,6 +32,7 @@
 from gingerspar.storage.budgets import Urgency
 from gingerspar.storage.client import Conflict, LeaseGone, StateClient, Unavailable, Unknown
 from gingerspar.storage.view import WatchedView
+from gingerspar.transport.client import Client, Unanswered
 from gingerspar.transport.clock import Clock
 from gingerspar.transport.server import Answer
 
@@ -86,6 +88,7 @@
         self._calls: set[asyncio.Task[None]] = set()
         dispatcher.wake = self._wake_machine
         dispatcher.finish_wanted = self._work.set
+        dispatcher.final_spec = view.final_spec
         view.on_job.append(self._record_changed)
 
     # -- life -----------------------------------------------------------------
@@ -186,6 +189,7 @@
                 self.dispatcher.tick(now)
                 if self.dispatcher.types:
                     self.dispatcher.place(now)
+                self._stop_directly(now)
                 self._say(now)
                 if log.isEnabledFor(logging.DEBUG) and now - said >= SUMMARY:
                     said = now
@@ -194,6 +198,25 @@
                 log.exception("deciding failed")
             await asyncio.sleep(0.015)
 
+    def _stop_directly(self, now: timedelta) -> None:
+        for machine in self.dispatcher.machines.values():
+            known = machine.state in (MachineState.READY, MachineState.LEAVING) and machine.address
+            if not known or machine.name in self._holds:
+                continue  # an answer that is held back takes them along at once
+            commands = self.dispatcher.direct_stops(machine, now)
+            if commands and self._authority():
+                body = messages.encode(DirectCommands(self.dispatcher.term, machine.session, commands))
+                self._spawn(self._send_directly(machine.address, body))
+
+    async def _send_directly(self, address: str, body: bytes) -> None:
+        client = Client(address, connect_timeout=timedelta(seconds=1))
+        try:
+            await client.request("POST", names.PATH_COMMANDS, body, timeout=timedelta(seconds=2))
+        except (Unanswered, ValueError) as error:
+            log.debug("direct stop: %s", error)
+        finally:
+            client.close()
+
     def _say(self, now: timedelta) -> None:
         """Tells claimants of finishes, and asks for attempts, until their records show it."""
         for job, run in self.dispatcher.runs.items():
@@ -298,7 +321,7 @@
         try:
             for _ in range(3):
                 try:
-                    names = await self._cloud.rent(request)
+                    hosts = await self._cloud.rent(request)
                     break
                 except CloudTrouble as error:
                     log.info("rental %s: %s", request.request, error)
@@ -306,11 +329,11 @@
             else:
                 return  # what it rented all the same shows in the list
             now = self._clock.now()
-            log.info("rented %d of %d %s in %s, spot=%s: %s", len(names), count, type_name, zone, spot, " ".join(names))
-            for name in names:
+            log.info("rented %d of %d %s in %s, spot=%s: %s", len(hosts), count, type_name, zone, spot, " ".join(hosts))
+            for name in hosts:
                 if name not in self.dispatcher.machines:
                     self.dispatcher.add_machine(name, type_name, zone, spot, now, MachineState.BOOTING)
-            if len(names) < count:
+            if len(hosts) < count:
                 self._refusals.refused(offer, now)
             else:
                 self._refusals.granted(offer)
@@ -321,11 +344,11 @@
             self._renting.discard(offer)
 
     async def _give_back(self, machines: list[Machine]) -> None:
-        names = [machine.name for machine in machines]
-        log.info("returning %s", " ".join(names))
+        hosts = [machine.name for machine in machines]
+        log.info("returning %s", " ".join(hosts))
         while True:
             try:
-                await self._cloud.give_back(names)
+                await self._cloud.give_back(hosts)
                 break
             except (CloudTrouble, NoCapacity) as error:
                 log.info("return: %s", error)
@@ -335,7 +358,7 @@
             self._retired[machine.name] = now
             self.dispatcher.returned(machine, now)
         self._work.set()
-        await self._strike(names)
+        await self._strike(hosts)
 
     async def _run_list(self) -> None:
         """Looks for machines nobody expects, and for those that have failed."""
--- a/gingerspar/coordination/dispatcher.py
+++ b/gingerspar/coordination/dispatcher.py
@@ -121,6 +121,7 @@
         self.accelerated: dict[str, JobSpec] = {}  # by class: what uses accelerators here
         self.dirty = True
         self.wake: Callable[[Machine], None] = lambda machine: None
+        self.final_spec: Callable[[str], JobSpec | None] = lambda job: None
         self.finish_wanted: Callable[[], None] = lambda: None
         for name, type_name, zone, spot in roster:
             machine = Machine(name, type_name, zone, spot, MachineState.UNSETTLED, raised, rostered=True)
@@ -183,6 +184,7 @@
         if report.session < machine.least_session or (report.session, report.seq) <= (machine.session, machine.seq):
             raise Stale
         machine.session, machine.seq = report.session, report.seq
+        machine.address = report.address
         machine.answered = now
         if report.token < self.term:
             # It may yet take an older holder's answer; its next report tells what is on it.
@@ -257,8 +259,9 @@
                 self._done(run, number)
             return
         if run is None:
-            # A job that is over, or that nobody knows: it counts as nothing and is stopped.
-            spec = run.spec if run is not None else _stranger(job)
+            # A job that is over, or that nobody knows. The task is stopped, and until it has
+            # ended it counts against its team's limit like any other.
+            spec = self.final_spec(job) or _stranger(job)
             run = self.runs.setdefault(job, JobRun(spec, _no_record(spec), TaskSet(spec.tasks), over=True))
         placement = Placement(run.spec, number, attempt, machine, REPORTED[task.status], now)
         if task.status is TaskStatus.RUNNING:
@@ -404,6 +407,23 @@
             for placement in machine.live.values()
         )
 
+    def direct_stops(self, machine: Machine, now: timedelta) -> list[Command]:
+        """Stops that need not wait for the machine's next report.
+
+        Only stops: executed late, one ends at worst a task that is started again, while a
+        late `run` could start one that runs elsewhere or is cancelled. They go again with
+        the answers to reports until the task has ended.
+        """
+        found: list[Command] = []
+        for placement in machine.live.values():
+            if placement.stop is None or placement.told_directly == placement.stop:
+                continue
+            if placement.state not in (TaskState.PLANNED, TaskState.SENT):
+                placement.told_directly = placement.stop
+                grace = placement.stop.total_seconds()
+                found.append(Command(Verb.STOP, placement.name, placement.attempt, grace))
+        return found
+
     def commands(self, machine: Machine, report: Report, now: timedelta) -> list[Command]:
         """What the answer to this report carries; `run` goes nowhere else."""
         if machine.state not in (MachineState.READY, MachineState.LEAVING) or report.token < self.term:
@@ -458,6 +478,8 @@
             left = machine.notice - now
             for placement in list(machine.live.values()):
                 spec = placement.spec
+                if placement.stop is None and spec.shape is Shape.SERVICE:
+                    self._stop(placement, spec.save_time, now)  # a replica gains nothing by staying
                 if placement.stop is not None or not spec.checkpoint_s:
                     continue
                 # Late enough to get on, early enough for the command to arrive and the save to end.
--- a/gingerspar/coordination/ledger.py
+++ b/gingerspar/coordination/ledger.py
@@ -67,6 +67,7 @@
     answered: tuple[int, int] = (0, 0)  # session and seq of the report whose answer carried `run`
     stop: timedelta | None = None  # grace of the stop that is wanted
     stop_sent: bool = False
+    told_directly: timedelta | None = None  # grace of the stop that was sent outside of reports
     cause: Cause | None = None
     running_since: timedelta | None = None
 
@@ -126,6 +127,7 @@
     state: MachineState
     created: timedelta
     kind: MachineType | None = None
+    address: str = ""
     session: int = 0
     seq: int = 0
     least_session: int = 0  # reports of earlier sessions are stale: their lease has run out
--- a/gingerspar/protocol/messages.py
+++ b/gingerspar/protocol/messages.py
@@ -131,6 +131,7 @@
         raise Malformed(f"not JSON: {error}") from error
 
 
+_MAY_BE_NULL = {"Builds", "Hall", "DueS"}
 _REQUIRED_TEXT = ("Jobclass", "Crew")
 _OPTIONAL_AMOUNTS = ("Cards", "ImageGb", "GuessS", "SaveEveryS", "SaveTookS", "DueS")
 _LONGEST_TEXT = 1000
@@ -144,6 +145,9 @@
     for flag in ("SamePlace", "Apart", "Loaners"):
         if not isinstance(given.get(flag, False), bool):
             raise Malformed(f"{flag}: expected true or false")
+    for name in _SPEC_NAMES.values():
+        if name not in given and name not in _MAY_BE_NULL:
+            raise Malformed(f"{name}: missing")
     try:
         spec = msgspec.convert(given, JobSpec)
     except msgspec.ValidationError as error:
@@ -243,6 +247,12 @@
     commands: list[Command]
 
 
+class DirectCommands(msgspec.Struct, rename={"token": "Baton", "session": "Stint", "commands": "Orders"}):
+    token: int
+    session: int
+    commands: list[Command]
+
+
 class Steer(msgspec.Struct, rename={"dispatcher": "Foreman"}, omit_defaults=True):
     """Sends a worker on to the node that commands the machines."""
 
--- a/gingerspar/storage/records.py
+++ b/gingerspar/storage/records.py
@@ -127,6 +127,7 @@
     status: JobStatus
     tasks: int
     version: int
+    spec: JobSpec | None = None  # of the latest ones only: their tasks may still be on machines
 
 
 class NodeRecord(msgspec.Struct, frozen=True):
--- a/gingerspar/storage/view.py
+++ b/gingerspar/storage/view.py
@@ -7,13 +7,14 @@
 
 import asyncio
 import logging
+from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
 from enum import Enum
 
 import msgspec
 
-from gingerspar.protocol.messages import Item, JobStatus
+from gingerspar.protocol.messages import Item, JobSpec, JobStatus
 from gingerspar.storage import records
 from gingerspar.storage.client import StateClient, TooOld, Unavailable, Unknown
 from gingerspar.storage.records import (
@@ -29,6 +30,7 @@
 
 log = logging.getLogger(__name__)
 
+KEPT_SPECS = 2000
 LONG_AGO = timedelta(days=-10000)
 
 
@@ -67,6 +69,7 @@
         self.term: tuple[TermRecord, int] | None = None
         self._gone: dict[str, int] = {}  # tombstones of our own deletions until the watch passes them
         self._chunks: dict[str, dict[int, tuple[str, int]]] = {}
+        self._latest: deque[str] = deque()  # final jobs whose description is still kept
         self._wanted = asyncio.Event()
         self._barriers: list[asyncio.Future[None]] = []
         self.on_job: list[Callable[[str], None]] = []
@@ -209,7 +212,10 @@
         if record.status.final:
             self.jobs.pop(job, None)
             self._chunks.pop(job, None)
-            self.final[job] = FinalRecord(record.status, record.spec.tasks, version)
+            self.final[job] = FinalRecord(record.status, record.spec.tasks, version, record.spec)
+            self._latest.append(job)
+            if len(self._latest) > KEPT_SPECS:
+                self.final[self._latest.popleft()].spec = None
         else:
             finished = TaskSet(record.spec.tasks)
             if record.spilled:
@@ -259,6 +265,11 @@
     def session_alive(self, claimant: records.Claimant) -> bool:
         return self.nodes.get(claimant.node) == claimant.session
 
+    def final_spec(self, job: str) -> JobSpec | None:
+        """What a job that is over was, if it was over lately."""
+        final = self.final.get(job)
+        return final.spec if final is not None else None
+
     def status_of(self, job: str) -> JobStatus | None:
         if job in self.final:
             return self.final[job].status
--- a/gingerspar/transport/peerlink.py
+++ b/gingerspar/transport/peerlink.py
@@ -30,10 +30,12 @@
     def __init__(self, receive: Receiver) -> None:
         super().__init__()
         self._receive = receive
+        self._streams: set[iostream.IOStream] = set()
 
     async def handle_stream(self, stream: iostream.IOStream, address: object) -> None:
         unpacker = netstrings.Unpacker(LONGEST)
         stream.set_nodelay(True)
+        self._streams.add(stream)
         try:
             while True:
                 for message in unpacker.feed(await stream.read_bytes(65536, partial=True)):
@@ -43,6 +45,12 @@
         except netstrings.Malformed as error:
             log.warning("peer link: %s sent no netstring: %s", address, error)
             stream.close()
+        finally:
+            self._streams.discard(stream)
+
+    def close(self) -> None:
+        for stream in list(self._streams):
+            stream.close()
 
 
 class _Outgoing:
@@ -58,6 +66,10 @@
     def up(self) -> bool:
         return self._stream is not None and not self._stream.closed()
 
+    def close(self) -> None:
+        if self._stream is not None:
+            self._stream.close()
+
     async def keep(self) -> None:
         while True:
             stream = iostream.IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
@@ -99,6 +111,12 @@
         self._outgoing = {name: _Outgoing(address) for name, address in peers.items()}
         self._listener = _Listener(receive)
 
+    def stop(self) -> None:
+        self._listener.stop()
+        self._listener.close()
+        for out in self._outgoing.values():
+            out.close()
+
     def start(self, port: int, address: str) -> list[asyncio.Task[None]]:
         self._listener.listen(port, address)
         return [asyncio.ensure_future(out.keep()) for out in self._outgoing.values()]
--- a/gingerspar/transport/server.py
+++ b/gingerspar/transport/server.py
@@ -54,7 +54,11 @@
         self._http.listen(port, address)
 
     def stop(self) -> None:
+        """Takes no new connection and closes those there are."""
         self._http.stop()
+        closing = asyncio.ensure_future(self._http.close_all_connections())
+        self._running.add(closing)
+        closing.add_done_callback(self._running.discard)
 
     def _begin(self, request: httputil.HTTPServerRequest) -> None:
         task = asyncio.ensure_future(self._answer(request))
--- /dev/null
+++ b/tests/standins/cluster.py
@@ -0,0 +1,121 @@
+"""Controllers in one process, with the stand-ins they need."""
+
+import asyncio
+import socket
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+
+from gingerspar.controller import Controller
+from gingerspar.protocol.settings import OperatorSettings, parse_settings
+from gingerspar.transport.client import Client, Unanswered
+from tests.standins.cloud import Cloud
+from tests.standins.state import StateService
+from tests.standins.worker import LEASE
+
+NAMES = ("n0", "n1", "n2")
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+class Cluster:
+    """Three controllers, a state service and a cloud on loopback."""
+
+    def __init__(self, run_seconds: float = 0.5) -> None:
+        ports = {name: (free_port(), free_port()) for name in NAMES}
+        self.http = {name: f"127.0.0.1:{http}" for name, (http, _) in ports.items()}
+        self.peer = {name: f"127.0.0.1:{peer}" for name, (_, peer) in ports.items()}
+        self.state = StateService()
+        self.state_port, self.cloud_port = free_port(), free_port()
+        self.cloud = Cloud(self.http, run_seconds, 0.3)
+        self.nodes: dict[str, tuple[Controller, asyncio.Task[None]]] = {}
+
+    def settings(self, name: str) -> str:
+        seeds = "".join(
+            f'[[seeds]]\nhost_name = "{other}"\ndomain = "a"\npeer_addr = "{self.peer[other]}"\n'
+            for other in NAMES
+            if other != name
+        )
+        return f"""
+host_name = "{name}"
+domain = "a"
+listen = "{self.http[name]}"
+peer_bind = "{self.peer[name]}"
+{seeds}
+[outside]
+cloud = "127.0.0.1:{self.cloud_port}"
+state = "127.0.0.1:{self.state_port}"
+[facts]
+size = 3
+zones = ["a"]
+[[facts.teams]]
+name = "red"
+[facts.workers]
+report_s = 0.3
+lease_s = {LEASE}
+cancel_s = 12.0
+[facts.state]
+rps = 200.0
+write_rps = 100.0
+value_kb = 16.0
+txn_ops = 16
+[facts.cloud]
+rps = 50.0
+list_lag_s = 0.5
+"""
+
+    def start(self) -> None:
+        self.state.server.listen(self.state_port, "127.0.0.1")
+        self.cloud.server.listen(self.cloud_port, "127.0.0.1")
+        for name in NAMES:
+            self.start_node(name)
+
+    def start_node(self, name: str) -> None:
+        operator = OperatorSettings(session_ttl_s=2.0, idle_return_s=1.0)
+        controller = Controller(parse_settings(self.settings(name)), operator)
+        self.nodes[name] = (controller, asyncio.ensure_future(controller.run()))
+
+    async def kill(self, name: str) -> None:
+        """The node is gone from one moment to the next, as far as others can tell."""
+        controller, task = self.nodes.pop(name)
+        controller.close()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    async def stop(self) -> None:
+        for name in list(self.nodes):
+            await self.kill(name)
+        self.cloud.stop()
+        self.state.server.stop()
+        self.cloud.server.stop()
+        await asyncio.sleep(0.05)
+
+    async def ask(self, name: str, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+        client = Client(self.http[name])
+        data = body if isinstance(body, bytes | None) else msgspec.json.encode(body)
+        try:
+            status, answer = await client.request(method, path, data, timeout=timedelta(seconds=5))
+            return status, msgspec.json.decode(answer)
+        except Unanswered:
+            return 0, None
+        finally:
+            client.close()
+
+    def holder(self) -> str | None:
+        record = self.state.keys.get("gs/term")
+        return record[0]["holder"] if record is not None else None
+
+
+def job(number: int, **changes: Any) -> dict[str, Any]:
+    spec = {
+        "Ref": f"wk-{number:06d}", "Jobclass": "c", "Crew": "red", "Shape": "batch", "Urgency": "standard",
+        "Pieces": 3, "Cpus": 4.0, "Cards": 0.0, "MemoryGb": 4.0, "Bundle": "img", "ImageGb": 0.5, "Builds": None,
+        "Hall": None, "SamePlace": False, "Apart": False, "Loaners": True, "GuessS": 1.0, "SaveEveryS": 0.0,
+        "SaveTookS": 0.0, "DueS": None,
+    }  # fmt: skip
+    return {**spec, **changes}
--- /dev/null
+++ b/tests/standins/state.py
@@ -0,0 +1,96 @@
+"""Stand-in of the state service."""
+
+import asyncio
+from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
+from tornado.httputil import HTTPServerRequest
+
+from gingerspar.transport.server import Answer, Server
+
+
+def answer(status: int, body: Any) -> Answer:
+    return Answer(status, msgspec.json.encode(body))
+
+
+class StateService:
+    """Keys with versions, transactions, leases and changes; all in memory."""
+
+    def __init__(self) -> None:
+        self.keys: dict[str, tuple[Any, int, int | None]] = {}
+        self.revision = 0
+        self.events: list[dict[str, Any]] = []
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.next_lease = 1
+        self.down = False
+        self.server = Server(self.handle)
+
+    async def handle(self, request: HTTPServerRequest) -> Answer:
+        if self.down:
+            return answer(503, {"error": "trouble"})
+        self.expire()
+        query = {name: values[0] for name, values in parse_qs(request.query).items()}
+        if request.path == "/commit":
+            return self.commit(msgspec.json.decode(request.body))
+        if request.path == "/changes":
+            since = int(query["Since"])
+            found = [e for e in self.events if e["Stamp"] > since and self._key(e).startswith(query["Prefix"])]
+            return answer(200, {"Epoch": self.revision, "Events": found})
+        if request.path == "/keys":
+            return self.page(query)
+        if request.path == "/grants":
+            seconds = msgspec.json.decode(request.body)["TtlMs"] / 1000
+            lease, self.next_lease = self.next_lease, self.next_lease + 1
+            self.leases[lease] = (seconds, self.now() + seconds)
+            return answer(200, {"Hold": lease})
+        if request.path.endswith("/extend"):
+            lease = int(request.path.split("/")[2])
+            if lease not in self.leases:
+                return answer(404, {})
+            seconds = self.leases[lease][0]
+            self.leases[lease] = (seconds, self.now() + seconds)
+            return answer(200, {})
+        return answer(404, {"Epoch": self.revision})
+
+    @staticmethod
+    def now() -> float:
+        return asyncio.get_running_loop().time()
+
+    @staticmethod
+    def _key(event: dict[str, Any]) -> str:
+        return event.get("Put") or event["Remove"]
+
+    def expire(self) -> None:
+        over = {lease for lease, (_, end) in self.leases.items() if end < self.now()}
+        for lease in over:
+            del self.leases[lease]
+        gone = [key for key, (_, _, lease) in self.keys.items() if lease in over]
+        if gone:
+            self.revision += 1
+            for key in gone:
+                del self.keys[key]
+                self.events.append({"Remove": key, "Stamp": self.revision})
+
+    def page(self, query: dict[str, str]) -> Answer:
+        most = int(query.get("Most", 1000))
+        since = query.get("Since", "")
+        names = sorted(key for key in self.keys if key.startswith(query["Prefix"]) and key > since)
+        rows = [{"K": key, "Data": self.keys[key][0], "Stamp": self.keys[key][1]} for key in names[:most]]
+        return answer(200, {"Rows": rows, "Truncated": len(names) > most, "Epoch": self.revision})
+
+    def commit(self, body: dict[str, Any]) -> Answer:
+        failed = [c["K"] for c in body.get("If", []) if self.keys.get(c["K"], (None, 0, None))[1] != c["Stamp"]]
+        if failed:
+            return answer(409, {"failed": failed, "Epoch": self.revision})
+        writes = body.get("Writes", [])
+        if any(w.get("Hold") is not None and w["Hold"] not in self.leases for w in writes):
+            return answer(400, {"error": "no such lease"})
+        self.revision += bool(writes)
+        for write in writes:
+            if "Put" in write:
+                self.keys[write["Put"]] = (write["Data"], self.revision, write.get("Hold"))
+                self.events.append({"Put": write["Put"], "Data": write["Data"], "Stamp": self.revision})
+            elif self.keys.pop(write["Remove"], None) is not None:
+                self.events.append({"Remove": write["Remove"], "Stamp": self.revision})
+        return answer(200, {"Epoch": self.revision})
--- a/tests/tracing.py
+++ b/tests/tracing.py
@@ -91,6 +91,7 @@
         roster = [(name, "big", given.get("zone", "a"), False) for name in names]
         self.dispatcher = Dispatcher(int(words[0]), self.now, self.workers, self.teams, roster=roster)
         self.dispatcher.set_types(self.types)
+        self.dispatcher.final_spec = self.specs.get
 
     def _job(self, words: list[str]) -> None:
         """A record as the state service has it: ``job wk-1 array tasks=2 attempt=1``."""
