--- a/gingerspar/coordination/command.py
+++ b/gingerspar/coordination/command.py
@@ -41,6 +41,7 @@
 SAY_AGAIN = timedelta(seconds=1)
 RECLAIM_AGAIN = timedelta(seconds=1)
 FLEET_INTERVAL = timedelta(seconds=1)
+ORDER_FRESH = timedelta(seconds=1)
 TICK = timedelta(milliseconds=250)
 SUMMARY = timedelta(seconds=5)
 HOLD_IDLE = timedelta(seconds=2)  # workers give an answer up after 4 s
@@ -294,11 +295,22 @@
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
 
+    def _may_order(self) -> bool:
+        """Whether the cloud may be asked to rent or to take back.
+
+        A request can be held by a cut and carried out minutes later, when another node
+        commands. A holder cut off from everything saw all machines fall silent, asked the
+        cloud again and again to take them back, and when the cut ended all of them went,
+        with the work that its successor had kept running. So nothing is ordered unless
+        the state service was read just now, which far outpaces the silence of a lease.
+        """
+        return self._authority() and self._view.age() <= ORDER_FRESH
+
     async def _run_fleet(self) -> None:
         while True:
             await asyncio.sleep(FLEET_INTERVAL.total_seconds())
             now = self._clock.now()
-            if not self._authority() or not self.dispatcher.types:
+            if not self._may_order() or not self.dispatcher.types:
                 continue
             try:
                 for offer, count in fleet.wanted(self.dispatcher, self._refusals, now).items():
@@ -320,6 +332,8 @@
         request = RentRequest(f"t{self.dispatcher.term}-{self._rentals}", type_name, zone, spot, count)
         try:
             for _ in range(3):
+                if not self._may_order():
+                    return
                 try:
                     hosts = await self._cloud.rent(request)
                     break
@@ -347,6 +361,9 @@
         hosts = [machine.name for machine in machines]
         log.info("returning %s", " ".join(hosts))
         while True:
+            if not self._may_order():
+                await asyncio.sleep(0.5)
+                continue
             try:
                 await self._cloud.give_back(hosts)
                 break
