--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -97,7 +97,7 @@
         self._claims.dispatching = self._dispatching
         self._claims.hand_over = self._hand_over
         self._door.types = lambda: {kind.name: kind for kind in self._types}
-        self._door.running_counts = self._running_counts
+        self._door.running = self._running
         self._door.peer_has_state = self._peer_has_state
 
     # -- life -----------------------------------------------------------------
@@ -210,7 +210,7 @@
         now = self._clock.now()
         self._visits.append((now, report.machine))
         if self._post is not None and self._authority():
-            return await self._post.report(request, report)
+            return await self._post.report(report)
         if self._post is not None:
             return problem(503, "not entitled")
         holder = self._known_holder()
@@ -348,7 +348,7 @@
         if self._view.term[1] != version:
             self._move_term(TermState.FOLLOWING)
             return
-        roster = [(name, entry.type, entry.zone, entry.spot) for name, (entry, _) in self._view.roster.items()]
+        roster = self._view.rostered()
         dispatcher = Dispatcher(number, raised, self._facts.workers, self._facts.teams, roster=roster)
         self._post = CommandPost(
             self._node,
@@ -430,7 +430,7 @@
                 # Committed data with its version, so it may go straight into the view.
                 self._view.apply(message.key, bytes(message.record), message.version)
             case peers.Finished():
-                self._claims.finished(message.job, message.tasks)
+                self._claims.finished(message.jobs)
             case peers.Relay():
                 task = asyncio.ensure_future(self._serve_relay(message))
                 self._relay_tasks.add(task)
@@ -443,8 +443,8 @@
             case peers.Reclaim():
                 self._claims.reclaim(message.job, message.attempt)
 
-    def _running_counts(self) -> dict[str, int]:
-        return self._post.dispatcher.running_counts() if self._post is not None else self._counts
+    def _running(self, job: str) -> int:
+        return self._post.dispatcher.running_count(job) if self._post is not None else self._counts.get(job, 0)
 
     def _hand_over(self, job: str, version: int, record: JobRecord) -> None:
         term = self._view.term
@@ -453,12 +453,11 @@
         message = peers.Handover(self._node, term[0].term, records.job_key(job), version, records.pack(record))
         self._link.send(term[0].holder, peers.pack(message))
 
-    def _tell_finished(self, node: str, job: str, tasks: list[int]) -> None:
+    def _tell_finished(self, node: str, jobs: dict[str, list[int]]) -> None:
         if node == self._node:
-            self._claims.finished(job, tasks)
+            self._claims.finished(jobs)
         elif self._post is not None and node in self._news:
-            message = peers.Finished(self._node, self._post.dispatcher.term, job, tasks)
-            self._link.send(node, peers.pack(message))
+            self._link.send(node, peers.pack(peers.Finished(self._node, self._post.dispatcher.term, jobs)))
 
     def _ask_reclaim(self, node: str, job: str, attempt: int) -> None:
         if node == self._node:
--- /dev/null
+++ b/gingerspar/coordination/book.py
@@ -0,0 +1,213 @@
+"""The holder's books: machines, runs and what each team uses, kept in step.
+
+Everything that changes what is where goes through here, so that the sums and the
+indexes that placing relies on follow each change at once.
+"""
+
+import logging
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+
+from gingerspar.coordination.ledger import Machine, MachineState, Placement, TaskState, Usage
+from gingerspar.coordination.pool import Pool, allows
+from gingerspar.coordination.runs import Backlog, GangState, JobRun
+from gingerspar.protocol.messages import JobSpec, MachineType
+from gingerspar.protocol.settings import TeamFacts
+
+log = logging.getLogger(__name__)
+
+NO_GRACE = timedelta(0)
+_COUNTED = (TaskState.RUNNING, TaskState.SAVING)  # shown to users as running
+
+
+class Book:
+    """One term's machines, runs and use."""
+
+    def __init__(self, term: int, teams: Iterable[TeamFacts]) -> None:
+        self.term = term
+        self.teams = {team.name: team for team in teams}
+        self.types: dict[str, MachineType] = {}
+        self.pool = Pool()
+        self.runs: dict[str, JobRun] = {}
+        self.backlog = Backlog()
+        self.usage: dict[str, Usage] = {team: Usage() for team in self.teams}
+        self.unsaved: dict[str, JobRun] = {}  # runs with finishes that the record doesn't show yet
+        self.accelerated: dict[str, JobSpec] = {}  # by class: what uses accelerators here
+        self.wake: Callable[[Machine], None] = lambda machine: None
+
+    # -- machines -------------------------------------------------------------
+
+    def add_machine(
+        self,
+        name: str,
+        type_name: str,
+        zone: str,
+        spot: bool,
+        now: timedelta,
+        state: MachineState,
+        *,
+        rostered: bool = False,
+    ) -> Machine:
+        kind = self.types.get(type_name)
+        machine = Machine(name, type_name, zone, spot, state, now, kind=kind, rostered=rostered)
+        self.pool.add(machine)
+        return machine
+
+    def set_types(self, types: Iterable[MachineType]) -> None:
+        self.types = {kind.name: kind for kind in types}
+        for machine in self.pool:
+            machine.set_kind(self.types.get(machine.type))
+
+    def remove_machine(self, machine: Machine, now: timedelta) -> None:
+        """The machine and all on it are gone for certain."""
+        self.clear_machine(machine, now)
+        machine.move(MachineState.GONE)
+        self.pool.remove(machine)
+
+    def clear_machine(self, machine: Machine, now: timedelta) -> None:
+        for placement in list(machine.live.values()):
+            self.gone(placement, now)
+
+    # -- tasks ----------------------------------------------------------------
+
+    def move(self, placement: Placement, state: TaskState, now: timedelta) -> None:
+        """A task's state changes; the job's count of running tasks follows."""
+        before = placement.state in _COUNTED
+        placement.move(state, now)
+        run = self.runs.get(placement.job)
+        if run is not None:
+            run.running += (placement.state in _COUNTED) - before
+
+    def plan(self, run: JobRun, number: int, machine: Machine, now: timedelta) -> None:
+        placement = Placement(run.spec, number, run.record.attempt, machine, TaskState.PLANNED, now)
+        run.used_attempt = max(run.used_attempt, run.record.attempt)
+        self.enter(run, placement)
+        self.wake(machine)
+
+    def enter(self, run: JobRun, placement: Placement) -> None:
+        """A task takes its place; whoever adds the last one refiles the run."""
+        placement.machine.take(placement)
+        run.places.setdefault(placement.number, []).append(placement)
+        run.open.discard(placement.number)
+        run.running += placement.state in _COUNTED
+        self.usage.setdefault(placement.spec.team, Usage()).add(placement.spec)
+
+    def _leave(self, placement: Placement) -> JobRun:
+        """Takes an ended placement off the books."""
+        run = self.runs[placement.job]
+        places = run.places[placement.number]
+        places.remove(placement)
+        if not places:
+            del run.places[placement.number]
+            if not run.over and placement.number not in run.finished and placement.number < run.spec.tasks:
+                run.open.add(placement.number)
+        self.usage[placement.spec.team].add(placement.spec, -1)
+        if run.over and not run.places:
+            self.runs.pop(placement.job, None)
+        return run
+
+    def exited(self, placement: Placement, now: timedelta) -> JobRun:
+        self.move(placement, TaskState.EXITED, now)
+        return self._leave(placement)
+
+    def gone(self, placement: Placement, now: timedelta) -> None:
+        """The task is on its machine no more, without having ended there."""
+        if not placement.live:
+            return  # its gang was taken apart while its machine's tasks were gone through
+        log.debug("%s attempt %d on %s is gone", placement.name, placement.attempt, placement.machine.name)
+        self.move(placement, TaskState.GONE, now)
+        self.gang_lost_one(self._leave(placement), now)
+
+    def gang_lost_one(self, run: JobRun, now: timedelta) -> None:
+        """After a task of a run has gone: a gang that lost one is stopped whole."""
+        if run.gangs and not run.over:
+            if run.places:
+                run.set_gang(GangState.STOPPING)
+                for placement in run.live:
+                    if placement.stop is None:
+                        self.stop(placement, NO_GRACE, now)
+            if not run.places:
+                run.set_gang(GangState.IDLE)
+        self.backlog.refile(run, now)
+
+    def stop(self, placement: Placement, grace: timedelta, now: timedelta) -> None:
+        """Wants a task ended; a planned one never reached its machine."""
+        if placement.state is TaskState.PLANNED:
+            self.gone(placement, now)
+            return
+        if placement.stop is None or grace < placement.stop:
+            placement.stop = grace
+            placement.stop_sent = False
+            self.wake(placement.machine)
+
+    def stop_run(self, run: JobRun, grace: timedelta, now: timedelta) -> None:
+        """Stops all tasks of a job in an orderly way; a gang's must be told together."""
+        if run.gangs:
+            run.set_gang(GangState.STOPPING)
+        for placement in run.live:
+            self.stop(placement, grace, now)
+
+    def end(self, run: JobRun, now: timedelta) -> None:
+        """The record says done or cancelled."""
+        run.over = True
+        run.open.clear()
+        run.unsaved.clear()
+        self.unsaved.pop(run.spec.job, None)
+        self.unbook(run)
+        self.backlog.refile(run, now)
+        for placement in run.live:
+            self.stop(placement, NO_GRACE, now)
+        if not run.places:
+            self.runs.pop(run.spec.job, None)
+
+    def done(self, run: JobRun, number: int) -> bool:
+        """A task has completed; true if that is news."""
+        # The tasks of a gang complete together: if one is done, all are.
+        numbers = range(run.spec.tasks) if run.gangs else (number,)
+        news = False
+        for each in numbers:
+            if not run.over and run.finished.add(each):
+                news = True
+                run.unsaved.add(each)
+                run.open.discard(each)
+        if news:
+            run.told = None
+            self.unsaved[run.spec.job] = run
+        return news
+
+    # -- room -----------------------------------------------------------------
+
+    def book(self, run: JobRun, room: dict[Machine, int], now: timedelta) -> None:
+        """Keeps room for a gang until it starts."""
+        for machine, count in room.items():
+            machine.book(run.spec, count)
+        run.booked = room
+        if run.booked_since is None:
+            run.booked_since = now
+
+    def unbook(self, run: JobRun) -> None:
+        booked, run.booked = run.booked, {}
+        for machine, count in booked.items():
+            machine.book(run.spec, -count)
+
+    def blocked(self, run: JobRun) -> bool:
+        """True while one of its open tasks may run on a machine that has not reported yet."""
+        if run.record.first_term >= self.term:
+            return False
+        return any(allows(run.spec, *offer) for offer in self.pool.unsettled.offers)
+
+    def team_room(self, spec: JobSpec) -> int:
+        """Tasks that the team's limit still takes; unsettled machines count as full of them."""
+        team = self.teams.get(spec.team)
+        if team is None:
+            return 0
+        used = self.usage[spec.team]
+        unsettled = self.pool.unsettled
+        room = 1_000_000
+        if team.cpus_max and spec.cpus:
+            cpus = used.cpus + unsettled.cpus + unsettled.unknown * team.cpus_max
+            room = int((team.cpus_max - cpus) / spec.cpus + 1e-9)
+        if team.gpus_max and spec.gpus:
+            gpus = used.gpus + unsettled.gpus + unsettled.unknown * team.gpus_max
+            room = min(room, int((team.gpus_max - gpus) / spec.gpus + 1e-9))
+        return max(room, 0)
--- a/gingerspar/coordination/claims.py
+++ b/gingerspar/coordination/claims.py
@@ -6,8 +6,9 @@
 """
 
 import asyncio
+import contextlib
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 import msgspec
@@ -83,24 +84,44 @@
     return Change(record.spec.job, entry.version, msgspec.structs.replace(record, spilled=True), chunks)
 
 
-def over_limit(teams: dict[str, TeamFacts], entries: list[Versioned], entry: Versioned) -> bool:
-    """True if claims of the same or a higher priority already use up the team's limit."""
-    spec = entry.record.spec
-    team = teams.get(spec.team)
-    if team is None or not (team.cpus_max or team.gpus_max):
-        return False
-    cpus = gpus = 0.0
-    for other in entries:
-        theirs = other.record.spec
-        ahead = theirs.team == spec.team and theirs.priority.rank <= spec.priority.rank
-        if ahead and other.record.status is JobStatus.RUNNING:
-            left = theirs.tasks - len(other.finished)
-            cpus += left * theirs.cpus
-            gpus += left * theirs.gpus
-    return bool(
-        (team.cpus_max and spec.cpus and cpus >= team.cpus_max)
-        or (team.gpus_max and spec.gpus and gpus >= team.gpus_max)
-    )
+class Held:
+    """What claimed, unfinished work of each team and priority takes in all."""
+
+    def __init__(self, entries: Iterable[Versioned]) -> None:
+        self._sums: dict[tuple[str, int], list[float]] = {}
+        for entry in entries:
+            if entry.record.status is JobStatus.RUNNING:
+                self.add(entry)
+
+    def add(self, entry: Versioned) -> None:
+        spec = entry.record.spec
+        left = spec.tasks - len(entry.finished)
+        sums = self._sums.setdefault((spec.team, spec.priority.rank), [0.0, 0.0])
+        sums[0] += left * spec.cpus
+        sums[1] += left * spec.gpus
+
+    def over_limit(self, teams: dict[str, TeamFacts], entry: Versioned) -> bool:
+        """True if claims of the same or a higher priority already use up the team's limit."""
+        spec = entry.record.spec
+        team = teams.get(spec.team)
+        if team is None or not (team.cpus_max or team.gpus_max):
+            return False
+        ahead = [sums for (name, rank), sums in self._sums.items() if name == spec.team and rank <= spec.priority.rank]
+        cpus, gpus = sum(sums[0] for sums in ahead), sum(sums[1] for sums in ahead)
+        return bool(
+            (team.cpus_max and spec.cpus and cpus >= team.cpus_max)
+            or (team.gpus_max and spec.gpus and gpus >= team.gpus_max)
+        )
+
+
+class Pending:
+    """Newly finished tasks of one job that its record doesn't show yet."""
+
+    __slots__ = ("since", "tasks")
+
+    def __init__(self, since: timedelta) -> None:
+        self.tasks: set[int] = set()
+        self.since = since
 
 
 class Claims:
@@ -127,7 +148,7 @@
         self._orders: dict[str, tuple[int, float, float, str]] = {}
         self._since: dict[str, timedelta] = {}
         self._accepted: set[str] = set()  # by this node: it claims them at once
-        self._results: dict[str, set[int]] = {}
+        self._results: dict[str, Pending] = {}
         self._reclaims: dict[str, int] = {}
         self._wake = asyncio.Event()
         self._result_wake = asyncio.Event()
@@ -147,6 +168,10 @@
                 self._since[job] = self._clock.now()
                 self._wake.set()
             return
+        pending = self._results.get(job)
+        if entry is not None and pending is not None:
+            pending.tasks = {number for number in pending.tasks if number not in entry.finished}
+            pending.since = self._clock.now()
         order_then = self._orders.pop(job, None)
         if order_then is not None:
             self._pending.pop(order_then, None)
@@ -160,11 +185,17 @@
         self._accepted.add(job)
         self._wake.set()
 
-    def finished(self, job: str, tasks: list[int]) -> None:
+    def finished(self, jobs: dict[str, list[int]]) -> None:
         """From the dispatcher; said again until the record shows it."""
-        entry = self._view.jobs.get(job)
-        if entry is not None:
-            self._results.setdefault(job, set()).update(tasks)
+        now = self._clock.now()
+        for job, tasks in jobs.items():
+            entry = self._view.jobs.get(job)
+            if entry is None:
+                continue
+            pending = self._results.get(job)
+            if pending is None:
+                pending = self._results[job] = Pending(now)
+            pending.tasks.update(number for number in tasks if number not in entry.finished)
             self._result_wake.set()
 
     def reclaim(self, job: str, attempt: int) -> None:
@@ -198,12 +229,13 @@
             return []
         batch: list[Change] = []
         most = min(self._settings.claim_batch, self._client.most_puts)
-        entries = list(self._view.jobs.values()) if self._pending and self._teams else []
+        held = Held(self._view.jobs.values() if self._pending else ())
         takes_leftovers = self.dispatching()
         for job in self._pending.values():
             entry = self._view.jobs[job]
             mine = job in self._accepted or (takes_leftovers and now - self._since[job] >= LEFT_OVER)
-            if mine and not over_limit(self._teams, entries, entry):
+            if mine and not held.over_limit(self._teams, entry):
+                held.add(entry)
                 batch.append(Change(job, entry.version, claimed(entry, claimant, term[0].term)))
                 if len(batch) >= most:
                     break
@@ -235,27 +267,38 @@
 
     async def run_results(self) -> None:
         while True:
-            await self._result_wake.wait()
+            # A finish that completes no job waits for others of its job, `result_delay` at most.
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._result_wake.wait(), 1.0)
             self._result_wake.clear()
             if self._session.claimant is None:
                 await asyncio.sleep(0.2)
                 continue
-            while batch := self._next_results():
+            while batch := self._next_results(self._clock.now()):
                 if not await self._write(batch, Urgency.RESULT):
                     break
             await asyncio.sleep(self._settings.result_interval.total_seconds())
 
-    def _next_results(self) -> list[Change]:
-        """One write per job with newly finished tasks, as many jobs as fit one transaction."""
+    def _next_results(self, now: timedelta) -> list[Change]:
+        """One write per job with newly finished tasks, as many jobs as fit one transaction.
+
+        Those that complete their job go first, then what has waited longest.
+        """
         claimant = self._session.claimant
-        batch: list[Change] = []
-        puts = 0
-        for job in list(self._results):
+        ready: list[tuple[bool, timedelta, str]] = []
+        for job, pending in list(self._results.items()):
             entry = self._view.jobs.get(job)
-            if entry is None or entry.record.claimant != claimant or claimant is None:
+            if entry is None or entry.record.claimant != claimant or claimant is None or not pending.tasks:
                 del self._results[job]
                 continue
-            change = with_results(entry, self._results[job], self._client.value_bytes)
+            completes = len(entry.finished) + len(pending.tasks) >= entry.record.spec.tasks
+            if completes or now - pending.since >= self._settings.result_delay:
+                ready.append((not completes, pending.since, job))
+        ready.sort()
+        batch: list[Change] = []
+        puts = 0
+        for _, _, job in ready:
+            change = with_results(self._view.jobs[job], self._results[job].tasks, self._client.value_bytes)
             if change is None:
                 del self._results[job]
                 continue
--- a/gingerspar/coordination/command.py
+++ b/gingerspar/coordination/command.py
@@ -7,30 +7,24 @@
 from datetime import timedelta
 from typing import Any
 
-from tornado.httputil import HTTPServerRequest
-
 from gingerspar.coordination import fleet
 from gingerspar.coordination.cloud import Cloud, CloudTrouble, NoCapacity
 from gingerspar.coordination.dispatcher import Dispatcher, Outdated, Stale
 from gingerspar.coordination.ledger import Machine, MachineState
+from gingerspar.coordination.pool import Offer
+from gingerspar.coordination.roster import Roster
 from gingerspar.coordination.session import Session
 from gingerspar.protocol import messages, names
 from gingerspar.protocol.messages import (
-    Delete,
     DirectCommands,
-    KeyVersion,
     MachineStatus,
     MachineType,
-    Put,
     RentRequest,
     Report,
     ReportAnswer,
-    Transaction,
 )
 from gingerspar.protocol.settings import Facts, OperatorSettings
-from gingerspar.storage import records
-from gingerspar.storage.budgets import Urgency
-from gingerspar.storage.client import Conflict, LeaseGone, StateClient, Unavailable, Unknown
+from gingerspar.storage.client import StateClient
 from gingerspar.storage.view import WatchedView
 from gingerspar.transport.client import Client, Unanswered
 from gingerspar.transport.clock import Clock
@@ -38,16 +32,24 @@
 
 log = logging.getLogger(__name__)
 
-SAY_AGAIN = timedelta(seconds=1)
+SAY_AGAIN = timedelta(seconds=3)
+SAY_PAUSE = timedelta(milliseconds=100)  # finishes are told together
 RECLAIM_AGAIN = timedelta(seconds=1)
 FLEET_INTERVAL = timedelta(seconds=1)
 ORDER_FRESH = timedelta(seconds=1)
 TICK = timedelta(milliseconds=250)
+PASS_PAUSE = timedelta(milliseconds=20)  # between two placing passes
 SUMMARY = timedelta(seconds=5)
+RETIRED_FOR = timedelta(minutes=2)  # far longer than the machine list lags
 HOLD_IDLE = timedelta(seconds=2)  # workers give an answer up after 4 s
 HOLD_BUSY = timedelta(milliseconds=200)  # a worker with tasks has news of its own to tell
 
 
+def _release(hold: asyncio.Future[None]) -> None:
+    if not hold.done():
+        hold.set_result(None)
+
+
 class CommandPost:
     """Lives for one term on the node that holds it."""
 
@@ -63,7 +65,7 @@
         facts: Facts,
         settings: OperatorSettings,
         authority: Callable[[], bool],
-        tell_finished: Callable[[str, str, list[int]], None],
+        tell_finished: Callable[[str, dict[str, list[int]]], None],
         ask_reclaim: Callable[[str, str, int], None],
     ) -> None:
         self.dispatcher = dispatcher
@@ -78,16 +80,18 @@
         self._authority = authority
         self._tell_finished = tell_finished
         self._ask_reclaim = ask_reclaim
-        self._holds: dict[str, asyncio.Event] = {}
+        self._holds: dict[str, asyncio.Future[None]] = {}
+        self._woken: set[str] = set()  # machines that commands wait for
         self._work = asyncio.Event()
         self._refusals = fleet.Refusals()
         self._rentals = 0
-        self._renting: set[fleet.Offer] = set()
+        self._said = clock.now()
+        self._renting: set[Offer] = set()
         self._retired: dict[str, timedelta] = {}  # given back: lists may show them for a while
-        self._roster_wake = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._calls: set[asyncio.Task[None]] = set()
-        dispatcher.wake = self._wake_machine
+        self._roster = Roster(dispatcher.term, client, view, session, self._work.set)
+        dispatcher.on_wake(self._wake_machine)
         dispatcher.finish_wanted = self._work.set
         dispatcher.final_spec = view.final_spec
         view.on_job.append(self._record_changed)
@@ -106,7 +110,7 @@
         )
         self._tasks = [
             asyncio.ensure_future(loop)
-            for loop in (self._decide(), self._run_fleet(), self._run_list(), self._roster())
+            for loop in (self._decide(), self._run_fleet(), self._run_list(), self._roster.run())
         ]
 
     def stop(self) -> None:
@@ -114,8 +118,8 @@
         self._view.on_job.remove(self._record_changed)
         for task in [*self._tasks, *self._calls]:
             task.cancel()
-        for event in self._holds.values():
-            event.set()
+        for hold in self._holds.values():
+            _release(hold)
 
     # -- events ---------------------------------------------------------------
 
@@ -133,24 +137,23 @@
         self._work.set()
 
     def _wake_machine(self, machine: Machine) -> None:
-        event = self._holds.get(machine.name)
-        if event is not None:
-            event.set()
+        self._woken.add(machine.name)
 
     # -- reports --------------------------------------------------------------
 
-    async def report(self, request: HTTPServerRequest, report: Report) -> Answer:
+    async def report(self, report: Report) -> Answer:
         try:
             machine = self.dispatcher.report(report, self._clock.now())
         except Stale:
             return Answer(503, b'{"error":"late"}')
         except Outdated:
             return Answer(503, b'{"error":"not entitled"}')
-        if not machine.rostered:
-            self._roster_wake.set()
-        self._work.set()
+        if self.dispatcher.dirty:
+            self._work.set()
         settled = report.token >= self.dispatcher.term
         if settled and machine.state in (MachineState.READY, MachineState.LEAVING):
+            if not machine.rostered:
+                self._roster.reported(machine)
             await self._hold(machine)
             if (machine.session, machine.seq) != (report.session, report.seq):
                 return Answer(503, b'{"error":"late"}')
@@ -163,49 +166,67 @@
 
     async def _hold(self, machine: Machine) -> None:
         """Keeps the answer back a little, so that what is decided meanwhile goes at once."""
-        if self.dispatcher.dirty:
-            await asyncio.sleep(0.01)
-        event = asyncio.Event()
-        self._holds[machine.name] = event
-        if not self.dispatcher.has_commands(machine) and not machine.exited:
-            hold = HOLD_BUSY if machine.live else HOLD_IDLE
-            try:
-                await asyncio.wait_for(event.wait(), hold.total_seconds())
-                await asyncio.sleep(0.005)
-            except TimeoutError:
-                pass
-        if self._holds.get(machine.name) is event:
+        if not self.dispatcher.dirty and self.dispatcher.has_commands(machine):
+            return
+        loop = asyncio.get_running_loop()
+        hold: asyncio.Future[None] = loop.create_future()
+        self._holds[machine.name] = hold
+        if self.dispatcher.has_commands(machine):
+            self._woken.add(machine.name)  # it leaves after the pass that is due
+        span = HOLD_BUSY if machine.live else HOLD_IDLE
+        timer = loop.call_later(span.total_seconds(), _release, hold)
+        await hold
+        timer.cancel()
+        if self._holds.get(machine.name) is hold:
             del self._holds[machine.name]
 
+    def _release_holds(self) -> None:
+        woken, self._woken = self._woken, set()
+        for name in woken:
+            hold = self._holds.get(name)
+            if hold is not None:
+                _release(hold)
+
     # -- decisions ------------------------------------------------------------
 
     async def _decide(self) -> None:
-        said = self._clock.now()
+        summed = ticked = self._clock.now()
         while True:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._work.wait(), TICK.total_seconds())
             self._work.clear()
             now = self._clock.now()
             try:
-                self.dispatcher.tick(now)
-                if self.dispatcher.types:
+                if now - ticked >= TICK:
+                    ticked = now
+                    self.dispatcher.tick(now)
+                if self.dispatcher.book.types:
                     self.dispatcher.place(now)
-                self._stop_directly(now)
+                self._stop_directly()
                 self._say(now)
-                if log.isEnabledFor(logging.DEBUG) and now - said >= SUMMARY:
-                    said = now
-                    log.debug("%s", self.dispatcher.summary(now))
+                if log.isEnabledFor(logging.DEBUG) and now - summed >= SUMMARY:
+                    summed = now
+                    log.debug("%s", self.dispatcher.summary())
             except Exception:
                 log.exception("deciding failed")
-            await asyncio.sleep(0.015)
-
-    def _stop_directly(self, now: timedelta) -> None:
-        for machine in self.dispatcher.machines.values():
+            self._release_holds()
+            if self.dispatcher.dirty:
+                self._work.set()  # the pass was stopped to let others have their turn
+            # A pass that took long is followed by a longer pause: reports and reads come first.
+            await asyncio.sleep(max(PASS_PAUSE, self._clock.now() - now).total_seconds())
+
+    def _stop_directly(self) -> None:
+        stopping = self.dispatcher.stopping
+        for name, machine in list(stopping.items()):
             known = machine.state in (MachineState.READY, MachineState.LEAVING) and machine.address
-            if not known or machine.name in self._holds:
-                continue  # an answer that is held back takes them along at once
-            commands = self.dispatcher.direct_stops(machine, now)
-            if commands and self._authority():
+            if not known or name in self._holds:
+                del stopping[name]  # an answer that is held back takes them along at once
+                continue
+            if not self._authority():
+                return
+            del stopping[name]
+            commands = self.dispatcher.direct_stops(machine)
+            if commands:
                 body = messages.encode(DirectCommands(self.dispatcher.term, machine.session, commands))
                 self._spawn(self._send_directly(machine.address, body))
 
@@ -220,73 +241,21 @@
 
     def _say(self, now: timedelta) -> None:
         """Tells claimants of finishes, and asks for attempts, until their records show it."""
-        for job, run in self.dispatcher.runs.items():
+        if now - self._said >= SAY_PAUSE:
+            self._said = now
+            finishes: dict[str, dict[str, list[int]]] = {}
+            for job, run in self.dispatcher.book.unsaved.items():
+                claimant = run.record.claimant
+                if claimant is not None and (run.told is None or now - run.told >= SAY_AGAIN):
+                    run.told = now
+                    finishes.setdefault(claimant.node, {})[job] = sorted(run.unsaved)
+            for node, jobs in finishes.items():
+                self._tell_finished(node, jobs)
+        for job, run in self.dispatcher.backlog.lacking_attempt.items():
             claimant = run.record.claimant
-            if run.over or claimant is None:
-                continue
-            if run.unsaved and (run.told is None or now - run.told >= SAY_AGAIN):
-                run.told = now
-                self._tell_finished(claimant.node, job, sorted(run.unsaved))
-            if self.dispatcher.needs_attempt(run):
-                if run.reclaim_asked is None or now - run.reclaim_asked >= RECLAIM_AGAIN:
-                    run.reclaim_asked = now
-                    self._ask_reclaim(claimant.node, job, run.record.attempt)
-            else:
-                run.reclaim_asked = None
-
-    # -- roster ---------------------------------------------------------------
-
-    async def _roster(self) -> None:
-        """Writes machines to the roster before their first `run`."""
-        while True:
-            await self._roster_wake.wait()
-            self._roster_wake.clear()
-            term = self._view.term
-            new = [
-                machine
-                for machine in self.dispatcher.machines.values()
-                # Only machines that have reported: one that still boots would be unsettled in a new term.
-                if not machine.rostered and machine.state in (MachineState.READY, MachineState.LEAVING)
-            ][: self._client.most_puts]
-            if not new or term is None or term[0].term != self.dispatcher.term:
-                continue
-            puts = [
-                Put(
-                    records.roster_key(machine.name),
-                    records.pack(records.RosterRecord(machine.type, machine.zone, machine.spot)),
-                )
-                for machine in new
-            ]
-            # Conditional on the term: a later holder reads a roster that only it adds to.
-            transaction = Transaction([self._session.condition(), KeyVersion(records.TERM, term[1])], [*puts])
-            try:
-                version = await self._client.commit(transaction, Urgency.CLAIM)
-            except (Conflict, LeaseGone, Unavailable, Unknown) as error:
-                log.debug("roster: %r", error)
-                await asyncio.sleep(0.3)
-                self._roster_wake.set()
-                continue
-            for put, machine in zip(puts, new, strict=True):
-                self._view.apply(put.key, bytes(put.value), version)
-                machine.rostered = True
-            self.dispatcher.dirty = True
-            self._work.set()
-            self._roster_wake.set()
-
-    async def _strike(self, machines: list[str]) -> None:
-        """Takes machines that are certainly gone off the roster."""
-        listed = [name for name in machines if name in self._view.roster]
-        for start in range(0, len(listed), self._client.most_puts):
-            keys = [records.roster_key(name) for name in listed[start : start + self._client.most_puts]]
-            try:
-                version = await self._client.commit(
-                    Transaction([self._session.condition()], [Delete(key) for key in keys]), Urgency.BACKGROUND
-                )
-            except (Conflict, LeaseGone, Unavailable, Unknown) as error:
-                log.debug("roster: %r", error)
-                continue  # it stays on the roster; the next holder returns it again
-            for key in keys:
-                self._view.apply(key, None, version)
+            if claimant is not None and (run.reclaim_asked is None or now - run.reclaim_asked >= RECLAIM_AGAIN):
+                run.reclaim_asked = now
+                self._ask_reclaim(claimant.node, job, run.record.attempt)
 
     # -- fleet ----------------------------------------------------------------
 
@@ -310,14 +279,14 @@
         while True:
             await asyncio.sleep(FLEET_INTERVAL.total_seconds())
             now = self._clock.now()
-            if not self._may_order() or not self.dispatcher.types:
+            if not self._may_order() or not self.dispatcher.book.types:
                 continue
             try:
-                for offer, count in fleet.wanted(self.dispatcher, self._refusals, now).items():
+                for offer, count in fleet.wanted(self.dispatcher.book, self._refusals, now).items():
                     if offer not in self._renting:
                         self._renting.add(offer)
                         self._spawn(self._rent(offer, min(count, fleet.MOST_RENTED_AT_ONCE)))
-                back = fleet.idle(self.dispatcher, now, self._settings.idle_return)[:100]
+                back = fleet.idle(self.dispatcher.book, now, self._settings.idle_return)[:100]
                 if back:
                     for machine in back:
                         machine.move(MachineState.RETURNING)
@@ -325,7 +294,7 @@
             except Exception:
                 log.exception("fleet planning failed")
 
-    async def _rent(self, offer: fleet.Offer, count: int) -> None:
+    async def _rent(self, offer: Offer, count: int) -> None:
         self._rentals += 1
         type_name, zone, spot = offer
         # Term and counter: no name is ever used again, whichever node asks.
@@ -346,7 +315,7 @@
             log.info("rented %d of %d %s in %s, spot=%s: %s", len(hosts), count, type_name, zone, spot, " ".join(hosts))
             for name in hosts:
                 if name not in self.dispatcher.machines:
-                    self.dispatcher.add_machine(name, type_name, zone, spot, now, MachineState.BOOTING)
+                    self.dispatcher.book.add_machine(name, type_name, zone, spot, now, MachineState.BOOTING)
             if len(hosts) < count:
                 self._refusals.refused(offer, now)
             else:
@@ -375,7 +344,7 @@
             self._retired[machine.name] = now
             self.dispatcher.returned(machine, now)
         self._work.set()
-        await self._strike(hosts)
+        self._roster.strike(hosts)
 
     async def _run_list(self) -> None:
         """Looks for machines nobody expects, and for those that have failed."""
@@ -388,11 +357,12 @@
                 await asyncio.sleep(1)
                 continue
             now = self._clock.now()
+            self._retired = {name: since for name, since in self._retired.items() if now - since < RETIRED_FOR}
             for entry in listed:
                 machine = self.dispatcher.machines.get(entry.machine)
                 if machine is None:
                     if entry.machine not in self._retired:
-                        machine = self.dispatcher.add_machine(
+                        machine = self.dispatcher.book.add_machine(
                             entry.machine, entry.type, entry.zone, entry.spot, now, MachineState.BOOTING
                         )
                     elif entry.status is not MachineStatus.FAILED:
--- a/gingerspar/coordination/fleet.py
+++ b/gingerspar/coordination/fleet.py
@@ -1,14 +1,16 @@
-"""How many machines of which kind: pure planning over the ledger."""
+"""How many machines of which kind: pure planning over the books."""
 
+import math
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
 from gingerspar.coordination import placement as placing
-from gingerspar.coordination.dispatcher import Dispatcher, JobRun
-from gingerspar.coordination.ledger import Machine, MachineState
-from gingerspar.protocol.messages import JobSpec, MachineType, Priority, Shape
-
-Offer = tuple[str, str, bool]  # type, zone, spot
+from gingerspar.coordination.book import Book
+from gingerspar.coordination.ledger import Machine, MachineState, fits
+from gingerspar.coordination.pool import Offer, allows
+from gingerspar.coordination.runs import JobRun
+from gingerspar.protocol.messages import JobSpec, MachineType, Priority
 
 MOST_RENTED_AT_ONCE = 50
 FIRST_REFUSAL = timedelta(seconds=4)
@@ -18,28 +20,7 @@
 DEAR = 3.0  # times the price of a place on the cheapest machine
 FULL_ENOUGH = 0.75
 WORTH_ANY_PRICE = timedelta(seconds=20)  # work that has waited so long gets whatever there is
-
-
-@dataclass(slots=True)
-class Bin:
-    """Room on a machine that boots or that is about to be rented."""
-
-    offer: Offer
-    cpus: float
-    gpus: float
-    memory_gb: float
-
-    def room_for(self, spec: JobSpec) -> int:
-        fits = 1_000_000
-        for have, need in ((self.cpus, spec.cpus), (self.gpus, spec.gpus), (self.memory_gb, spec.memory_gb)):
-            if need > 0:
-                fits = min(fits, int(have / need + 1e-9))
-        return max(fits, 0)
-
-    def put(self, spec: JobSpec, count: int) -> None:
-        self.cpus -= spec.cpus * count
-        self.gpus -= spec.gpus * count
-        self.memory_gb -= spec.memory_gb * count
+BEGUN_KEPT = 3  # machines begun but not full that are remembered for each offer
 
 
 @dataclass(slots=True)
@@ -62,8 +43,45 @@
         return self.until.get(offer, now) <= now
 
 
-def _bin(offer: Offer, kind: MachineType) -> Bin:
-    return Bin(offer, kind.cpus, kind.gpus, kind.memory_gb)
+class Bins:
+    """Machines of one offer that boot or are about to be rented, filled in thought."""
+
+    def __init__(self, offer: Offer, kind: MachineType) -> None:
+        self.offer = offer
+        self._kind = kind
+        self._empty = 0
+        self._begun: list[tuple[float, float, float]] = []  # what is left on some that are partly filled
+
+    def add(self, count: int) -> None:
+        self._empty += count
+
+    def put(self, spec: JobSpec, count: int) -> int:
+        """Finds places for up to ``count`` tasks; how many it found."""
+        found = 0
+        for place, (cpus, gpus, memory) in enumerate(self._begun):
+            take = min(fits(spec, cpus, gpus, memory), count - found)
+            if take > 0:
+                self._begun[place] = _less((cpus, gpus, memory), spec, take)
+                found += take
+        full = placing.slots(self._kind, spec)
+        while found < count and self._empty and full:
+            whole = min((count - found) // full, self._empty)
+            if whole:
+                self._empty -= whole
+                found += whole * full
+                left = full
+            else:
+                self._empty -= 1
+                left = count - found
+                found += left
+            rest = _less((self._kind.cpus, self._kind.gpus, self._kind.memory_gb), spec, left)
+            self._begun = [rest, *self._begun][:BEGUN_KEPT]
+        return found
+
+
+def _less(room: tuple[float, float, float], spec: JobSpec, count: int) -> tuple[float, float, float]:
+    cpus, gpus, memory = room
+    return cpus - spec.cpus * count, gpus - spec.gpus * count, memory - spec.memory_gb * count
 
 
 def offers(spec: JobSpec, types: dict[str, MachineType]) -> list[Offer]:
@@ -71,53 +89,45 @@
     for kind in types.values():
         for zone in kind.zones:
             for spot in (True, False) if spec.spot and kind.spot_price is not None else (False,):
-                if placing.allows(spec, kind.name, zone, spot):
+                if allows(spec, kind.name, zone, spot):
                     found.append((kind.name, zone, spot))
     return found
 
 
-def wanted(dispatcher: Dispatcher, refusals: Refusals, now: timedelta) -> dict[Offer, int]:
+def wanted(book: Book, refusals: Refusals, now: timedelta) -> dict[Offer, int]:
     """Machines to rent for the open tasks that find no room, nor will on those that boot."""
-    types = dispatcher.types
-    bins = [
-        _bin((m.type, m.zone, m.spot), m.kind)
-        for m in dispatcher.machines.values()
-        if m.state is MachineState.BOOTING and m.kind is not None
-    ]
+    types = book.types
+    bins: dict[Offer, Bins] = {}
+    for machine in book.pool.among(MachineState.BOOTING):
+        if machine.kind is not None:
+            offer = (machine.type, machine.zone, machine.spot)
+            bins.setdefault(offer, Bins(offer, machine.kind)).add(1)
     rent: dict[Offer, int] = {}
-    for run in dispatcher.waiting_runs(now):
-        left = _open_tasks(dispatcher, run)
-        if left <= 0:
+    for run in book.backlog:
+        if book.blocked(run):
             continue
         spec = run.spec
+        left = min(len(run.open), book.team_room(spec))
         choices = offers(spec, types)
         if spec.one_zone and run.places:
             zone = run.live[0].machine.zone
             choices = [offer for offer in choices if offer[1] == zone]
-        for there in bins:
-            if left <= 0:
-                break
-            if placing.allows(spec, *there.offer):
-                take = min(there.room_for(spec), left)
-                there.put(spec, take)
-                left -= take
+        for offer in choices:
+            if left > 0 and offer in bins:
+                left -= bins[offer].put(spec, left)
         while left > 0:
             best = _cheapest(run, left, choices, types, refusals, rent, now)
             if best is None:
                 break
-            fresh = _bin(best, types[best[0]])
-            take = min(fresh.room_for(spec), left)
-            fresh.put(spec, take)
-            left -= take
-            bins.append(fresh)
-            rent[best] = rent.get(best, 0) + 1
+            kind = types[best[0]]
+            count = min(max(left // placing.slots(kind, spec), 1), MOST_RENTED_AT_ONCE - rent.get(best, 0))
+            rent[best] = rent.get(best, 0) + count
+            fresh = bins.setdefault(best, Bins(best, kind))
+            fresh.add(count)
+            left -= fresh.put(spec, left)
     return rent
 
 
-def _open_tasks(dispatcher: Dispatcher, run: JobRun) -> int:
-    return min(len(run.open), dispatcher.team_room(run.spec))
-
-
 def _cheapest(
     run: JobRun,
     left: int,
@@ -128,15 +138,16 @@
     now: timedelta,
 ) -> Offer | None:
     spec = run.spec
+    open_choices = [o for o in choices if refusals.open(o, now) and rent.get(o, 0) < MOST_RENTED_AT_ONCE]
+    if not open_choices:
+        return None
     least = min((placing.slot_cost(types[name], spot, spec) for name, _, spot in choices), default=0.0)
     patient = spec.priority.rank > Priority.HIGH.rank and not (
-        run.first_open is not None and now - run.first_open > WORTH_ANY_PRICE
+        run.waiting_since is not None and now - run.waiting_since > WORTH_ANY_PRICE
     )
     best: Offer | None = None
     best_cost = float("inf")
-    for offer in choices:
-        if not refusals.open(offer, now) or rent.get(offer, 0) >= MOST_RENTED_AT_ONCE:
-            continue
+    for offer in open_choices:
         kind = types[offer[0]]
         full = placing.slots(kind, spec)
         slots = min(full, left)
@@ -150,24 +161,20 @@
     return best
 
 
-def patience_for(dispatcher: Dispatcher, machine: Machine, most: timedelta) -> timedelta:
+def _patience(kind: MachineType, offer: Offer, specs: Iterable[JobSpec], book: Book, most: timedelta) -> timedelta:
     """How long a machine may idle.
 
     Giving it back too soon wastes one boot, keeping it wastes the time kept: its boot
     time is the even trade. A machine whose places cost more than another ordinary
     machine's is the less likely to be needed again.
     """
-    kind = machine.kind
-    if kind is None:
-        return most
-    specs = {run.spec.jobclass: run.spec for run in dispatcher.runs.values()}
     best = 0.0
     warm = timedelta(0)
-    for spec in specs.values():
-        mine = placing.slot_cost(kind, machine.spot, spec)
-        if placing.allows(spec, machine.type, machine.zone, machine.spot) and mine != float("inf"):
+    for spec in specs:
+        mine = placing.slot_cost(kind, offer[2], spec)
+        if allows(spec, *offer) and mine != math.inf:
             # Against ordinary machines: a spot machine that was given back is seldom to be had again.
-            cheapest = min(placing.slot_cost(other, False, spec) for other in dispatcher.types.values())
+            cheapest = min(placing.slot_cost(other, False, spec) for other in book.types.values())
             share = min(cheapest / max(mine, 1e-9), 1.0)
             best = max(best, share)
             if spec.priority.rank <= Priority.HIGH.rank and share > 0.9 and spec.image:
@@ -176,28 +183,36 @@
     return min(most, timedelta(seconds=kind.boot_s) * max(best * best, LEAST_PATIENCE) + warm * WARMTH)
 
 
-def idle(dispatcher: Dispatcher, now: timedelta, patience: timedelta) -> list[Machine]:
+def idle(book: Book, now: timedelta, patience: timedelta) -> list[Machine]:
     """Machines to give back: nothing runs on them and nothing has for a while."""
-    found: list[Machine] = []
-    for machine in dispatcher.machines.values():
-        if machine.state is MachineState.LOST or (
-            machine.state is MachineState.LEAVING and not machine.live and machine.notice is None
-        ):
+    found = book.pool.among(MachineState.LOST)
+    found += [m for m in book.pool.among(MachineState.LEAVING) if not m.live and m.notice is None]
+    for machine in book.pool.among(MachineState.BOOTING):
+        startup = timedelta(seconds=machine.kind.boot_s if machine.kind is not None else 60)
+        if now - machine.created > startup * 4 + timedelta(seconds=20):
+            found.append(machine)
+    specs = {run.spec.jobclass: run.spec for run in book.runs.values() if not run.over}.values()
+    longest: dict[Offer, timedelta] = {}
+    needed: dict[Offer, bool] = {}
+    for machine in book.pool.among(MachineState.READY):
+        if machine.live or machine.idle_since is None or machine.booked.cpus > 1e-6 or machine.booked.gpus > 1e-6:
+            continue
+        offer = (machine.type, machine.zone, machine.spot)
+        if offer not in longest:
+            kind = machine.kind
+            longest[offer] = patience if kind is None else _patience(kind, offer, specs, book, patience)
+        if now - machine.idle_since < longest[offer]:
+            continue
+        if offer not in needed:
+            needed[offer] = machine.kind is not None and _needed(book, offer, machine.kind)
+        if not needed[offer]:
             found.append(machine)
-        elif machine.state is MachineState.READY and not machine.live and machine.idle_since is not None:
-            longest = patience_for(dispatcher, machine, patience)
-            if now - machine.idle_since >= longest and not _needed(dispatcher, machine, now):
-                found.append(machine)
-        elif machine.state is MachineState.BOOTING:
-            startup = timedelta(seconds=machine.kind.boot_s if machine.kind is not None else 60)
-            if now - machine.created > startup * 4 + timedelta(seconds=20):
-                found.append(machine)
     return found
 
 
-def _needed(dispatcher: Dispatcher, machine: Machine, now: timedelta) -> bool:
+def _needed(book: Book, offer: Offer, kind: MachineType) -> bool:
+    """Whether something that waits could use an empty machine of this offer."""
     return any(
-        run.spec.shape is not Shape.GANG or run.open
-        for run in dispatcher.waiting_runs(now)
-        if placing.allows(run.spec, machine.type, machine.zone, machine.spot) and machine.room_for(run.spec) > 0
+        allows(run.spec, *offer) and placing.slots(kind, run.spec) > 0 and book.team_room(run.spec) > 0
+        for run in book.backlog
     )
--- a/gingerspar/coordination/frontdoor.py
+++ b/gingerspar/coordination/frontdoor.py
@@ -95,7 +95,7 @@
         self._queue: deque[_Submission] = deque()
         self._queued = asyncio.Event()
         self.types: Callable[[], dict[str, MachineType]] = dict
-        self.running_counts: Callable[[], dict[str, int]] = dict
+        self.running: Callable[[str], int] = lambda job: 0
         self.peer_has_state: Callable[[], bool] = lambda: False
 
     # -- health ---------------------------------------------------------------
@@ -236,7 +236,7 @@
         entry = self._view.jobs.get(job)
         if entry is None:
             return problem(404, "no such job")
-        running = self.running_counts().get(job, 0)
+        running = self.running(job)
         status = JobStatus.RUNNING if running else JobStatus.PENDING
         return Answer(200, messages.encode(JobView(job, status, len(entry.finished), running)))
 
@@ -274,5 +274,5 @@
 
     def _state(self, status: int, job: str, known: JobStatus) -> Answer:
         if not known.final:
-            known = JobStatus.RUNNING if self.running_counts().get(job) else JobStatus.PENDING
+            known = JobStatus.RUNNING if self.running(job) else JobStatus.PENDING
         return Answer(status, messages.encode(JobState(job, known)))
--- a/gingerspar/coordination/ledger.py
+++ b/gingerspar/coordination/ledger.py
@@ -1,5 +1,6 @@
 """The dispatcher's ledger: every machine and every task that is or may be on it."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
@@ -45,6 +46,9 @@
     TaskState.PLANNED, TaskState.SENT, TaskState.FETCHING, TaskState.WAITING, TaskState.RUNNING, TaskState.SAVING,
 }  # fmt: skip
 
+_FETCHING = {TaskState.PLANNED, TaskState.SENT, TaskState.FETCHING}
+NOTHING = timedelta(0)
+
 REPORTED = {
     TaskStatus.FETCHING: TaskState.FETCHING,
     TaskStatus.WAITING: TaskState.WAITING,
@@ -94,12 +98,22 @@
             return
         if self.state in (TaskState.EXITED, TaskState.GONE):
             raise RuntimeError(f"{self.name}: {self.state} to {state}")
-        if state in (TaskState.EXITED, TaskState.GONE):
-            self.machine.release(self)
         if state is TaskState.RUNNING and self.running_since is None:
             self.running_since = now
         self.state = state
         self.since = now
+        if state in (TaskState.EXITED, TaskState.GONE):
+            self.machine.release(self)
+        else:
+            self.machine.outlook = None
+
+
+SERVICE_SPAN = timedelta(minutes=5)  # what a task that never ends counts as
+
+
+def run_time(spec: JobSpec) -> timedelta:
+    """How long a task of the job probably runs."""
+    return spec.estimate if spec.estimate_s > 0 else SERVICE_SPAN
 
 
 @dataclass(slots=True)
@@ -110,10 +124,33 @@
     gpus: float = 0.0
     memory_gb: float = 0.0
 
-    def add(self, spec: JobSpec, sign: int = 1) -> None:
-        self.cpus += sign * spec.cpus
-        self.gpus += sign * spec.gpus
-        self.memory_gb += sign * spec.memory_gb
+    def add(self, spec: JobSpec, count: int = 1) -> None:
+        self.cpus += count * spec.cpus
+        self.gpus += count * spec.gpus
+        self.memory_gb += count * spec.memory_gb
+
+
+def fits(spec: JobSpec, cpus: float, gpus: float, memory_gb: float) -> int:
+    """How many tasks of this kind the given amounts take."""
+    count = 1_000_000
+    if spec.cpus > 0:
+        count = int(cpus / spec.cpus + 1e-9)
+    if spec.gpus > 0:
+        count = min(count, int(gpus / spec.gpus + 1e-9))
+    if spec.memory_gb > 0:
+        count = min(count, int(memory_gb / spec.memory_gb + 1e-9))
+    return max(count, 0)
+
+
+@dataclass(slots=True, frozen=True)
+class Outlook:
+    """What a machine's present tasks say of its next minutes; kept until one of them changes."""
+
+    last_end: timedelta | None  # of the running ones, by their estimates
+    longest_ahead: timedelta  # of those that don't run yet
+    longest: timedelta
+    fetching: frozenset[str]  # images that are still under way
+    lowest_rank: int  # of the least urgent one
 
 
 @dataclass(slots=True, eq=False)
@@ -142,7 +179,10 @@
     errors: dict[str, int] = field(default_factory=dict)  # failed tasks by job since the last success
     suspect_until: timedelta | None = None
     why_leaving: str = ""
-    booked: Usage = field(default_factory=Usage)  # kept for a job of higher priority, this time round
+    booked: Usage = field(default_factory=Usage)  # kept for gangs that wait for more room
+    outlook: Outlook | None = None
+    tasks_seen: bytes | None = None  # the task list of the last report, when it was taken in whole
+    changed: Callable[["Machine", bool], None] = lambda machine, gained: None  # tells the pool
 
     def move(self, state: MachineState) -> None:
         """The only place where a machine's state changes."""
@@ -151,37 +191,80 @@
         if state not in _MACHINE_MOVES[self.state]:
             raise RuntimeError(f"{self.name}: {self.state} to {state}")
         self.state = state
+        self.changed(self, True)
+
+    def enlist(self) -> None:
+        """The machine is on the roster now: tasks may be sent to it."""
+        self.rostered = True
+        self.changed(self, True)
+
+    def set_kind(self, kind: MachineType | None) -> None:
+        known, self.kind = self.kind, kind
+        if known is None or kind is None:
+            self.changed(self, True)
 
     def take(self, placement: Placement) -> None:
         self.live[(placement.job, placement.number, placement.attempt)] = placement
         self.used.add(placement.spec)
         self.idle_since = None
+        self.outlook = None
+        self.changed(self, False)
 
     def release(self, placement: Placement) -> None:
         if self.live.pop((placement.job, placement.number, placement.attempt), None) is not None:
             self.used.add(placement.spec, -1)
+            self.outlook = None
             if not self.live:
                 self.used = Usage()  # no rounding left over
                 self.idle_since = None
+            self.changed(self, True)
 
-    def room_for(self, spec: JobSpec) -> int:
-        """How many more tasks of this kind fit."""
+    def book(self, spec: JobSpec, count: int) -> None:
+        """Keeps room for tasks, or with a negative count gives it up."""
+        self.booked.add(spec, count)
+        self.changed(self, count < 0)
+
+    def free(self) -> tuple[float, float, float]:
+        """Processors, accelerators and memory that no task has and no gang has booked."""
         kind = self.kind
         if kind is None:
-            return 0
-        fits = 1_000_000
-        for have, used, need in (
-            (kind.cpus, self.used.cpus + self.booked.cpus, spec.cpus),
-            (kind.gpus, self.used.gpus + self.booked.gpus, spec.gpus),
-            (kind.memory_gb, self.used.memory_gb + self.booked.memory_gb, spec.memory_gb),
-        ):
-            if need > 0:
-                fits = min(fits, int((have - used) / need + 1e-9))
-        return max(fits, 0)
+            return 0.0, 0.0, 0.0
+        used, booked = self.used, self.booked
+        return (
+            kind.cpus - used.cpus - booked.cpus,
+            kind.gpus - used.gpus - booked.gpus,
+            kind.memory_gb - used.memory_gb - booked.memory_gb,
+        )
+
+    def room_for(self, spec: JobSpec) -> int:
+        """How many more tasks of this kind fit."""
+        cpus, gpus, memory = self.free()
+        return fits(spec, cpus, gpus, memory)
+
+    def look_ahead(self) -> Outlook:
+        """The machine's outlook, worked out again only after a change."""
+        if self.outlook is None:
+            last_end: timedelta | None = None
+            longest_ahead = longest = NOTHING
+            fetching: set[str] = set()
+            lowest = 0
+            for placement in self.live.values():
+                span = run_time(placement.spec)
+                longest = max(longest, span)
+                lowest = max(lowest, placement.spec.priority.rank)
+                if placement.running_since is None:
+                    longest_ahead = max(longest_ahead, span)
+                elif last_end is None or placement.running_since + span > last_end:
+                    last_end = placement.running_since + span
+                if placement.state in _FETCHING and placement.spec.image not in self.images:
+                    fetching.add(placement.spec.image)
+            self.outlook = Outlook(last_end, longest_ahead, longest, frozenset(fetching), lowest)
+        return self.outlook
 
     def remember_image(self, image: str, size_gb: float) -> None:
         """The machine has used this image; it caches the most recently used ones."""
-        self.images.pop(image, None)
+        if self.images.pop(image, None) is None:
+            self.outlook = None
         self.images[image] = size_gb
         room = self.kind.cache_gb if self.kind is not None else 0.0
         total = sum(self.images.values())
--- a/gingerspar/coordination/placement.py
+++ b/gingerspar/coordination/placement.py
@@ -5,32 +5,20 @@
 from collections.abc import Iterable, Mapping, Sequence
 from datetime import timedelta
 
-from gingerspar.coordination.ledger import Machine, MachineState, Placement, TaskState
+from gingerspar.coordination.ledger import Machine, Placement, fits, run_time
+from gingerspar.coordination.pool import Offer, allows
 from gingerspar.protocol.messages import JobSpec, MachineType, Priority
 
 
-def allows(spec: JobSpec, type_name: str, zone: str, spot: bool) -> bool:
-    """Type, zone and kind that the job allows."""
-    if spec.types is not None and type_name not in spec.types:
-        return False
-    if spec.zone is not None and zone != spec.zone:
-        return False
-    return spec.spot or not spot
-
-
 def slots(kind: MachineType, spec: JobSpec) -> int:
     """Tasks of this kind that an empty machine takes."""
-    fits = 1_000_000
-    for have, need in ((kind.cpus, spec.cpus), (kind.gpus, spec.gpus), (kind.memory_gb, spec.memory_gb)):
-        if need > 0:
-            fits = min(fits, int(have / need + 1e-9))
-    return fits
+    return fits(spec, kind.cpus, kind.gpus, kind.memory_gb)
 
 
 def slot_cost(kind: MachineType, spot: bool, spec: JobSpec) -> float:
     """What a place for one task costs an hour on a machine that is full of them."""
-    fits = slots(kind, spec)
-    return kind.cost(spot) / fits if fits else math.inf
+    count = slots(kind, spec)
+    return kind.cost(spot) / count if count else math.inf
 
 
 def emptiness(machine: Machine, spec: JobSpec) -> float:
@@ -40,10 +28,11 @@
     """
     kind = machine.kind
     assert kind is not None
-    left = (kind.cpus - machine.used.cpus - spec.cpus) / max(kind.cpus, 1e-9)
-    left += 0.5 * (kind.memory_gb - machine.used.memory_gb - spec.memory_gb) / max(kind.memory_gb, 1e-9)
+    used = machine.used
+    left = (kind.cpus - used.cpus - spec.cpus) / max(kind.cpus, 1e-9)
+    left += 0.5 * (kind.memory_gb - used.memory_gb - spec.memory_gb) / max(kind.memory_gb, 1e-9)
     if kind.gpus:
-        left += 2.0 * (kind.gpus - machine.used.gpus - spec.gpus) / kind.gpus
+        left += 2.0 * (kind.gpus - used.gpus - spec.gpus) / kind.gpus
     return left
 
 
@@ -51,32 +40,20 @@
 ROUTINE_FETCH = 3.0  # for a fetch as long as the task itself
 ORDINARY_SURCHARGE = 1.5  # for work that may use spot machines: others need the ordinary ones
 COST_WEIGHT = 1.5  # for each doubling; how full a machine is counts from 0 to about 3
-SERVICE_SPAN = timedelta(minutes=5)  # what a task that never ends counts as
-
-
-def run_time(spec: JobSpec) -> timedelta:
-    return spec.estimate if spec.estimate_s > 0 else SERVICE_SPAN
 
 
 def busy_until(machine: Machine, now: timedelta) -> timedelta:
     """When the machine's present tasks will probably all have ended."""
-    latest = now
-    for placement in machine.live.values():
-        span = run_time(placement.spec)
-        latest = max(latest, (placement.running_since or now) + span, now + span * 0.2)
-    return latest
+    ahead = machine.look_ahead()
+    latest = now + max(ahead.longest_ahead, ahead.longest * 0.2)
+    return latest if ahead.last_end is None else max(latest, ahead.last_end)
 
 
 def fetch_time(machine: Machine, spec: JobSpec) -> timedelta:
     """How long the task would wait for its image there; images fetched at once share the rate."""
     if machine.kind is None or not spec.image or spec.image in machine.images:
         return timedelta(0)
-    fetching = {
-        placement.spec.image
-        for placement in machine.live.values()
-        if placement.state in (TaskState.PLANNED, TaskState.SENT, TaskState.FETCHING)
-        and placement.spec.image not in machine.images
-    }
+    fetching = machine.look_ahead().fetching
     alone = spec.image_gb / max(machine.kind.fetch_gb_per_s, 1e-3)
     if spec.image in fetching:
         return timedelta(seconds=0.6 * alone * len(fetching))
@@ -110,28 +87,18 @@
         spec = self._spec
         score = emptiness(machine, spec) + self.cost(machine)
         fetch = fetch_time(machine, spec)
-        if spec.priority.rank <= Priority.HIGH.rank:
-            score += URGENT_FETCH * fetch.total_seconds()
-        else:
-            score += ROUTINE_FETCH * min(fetch / self._span, 1.0)
+        if fetch:
+            if spec.priority.rank <= Priority.HIGH.rank:
+                score += URGENT_FETCH * fetch.total_seconds()
+            else:
+                score += ROUTINE_FETCH * min(fetch / self._span, 1.0)
         if spec.spot and not machine.spot:
             score += ORDINARY_SURCHARGE
         return (score, machine.name)
 
 
-def candidates(spec: JobSpec, machines: Iterable[Machine]) -> list[Machine]:
-    return [
-        machine
-        for machine in machines
-        if machine.state is MachineState.READY
-        and machine.rostered
-        and allows(spec, machine.type, machine.zone, machine.spot)
-        and machine.room_for(spec) > 0
-    ]
-
-
-def zone_room(spec: JobSpec, others: Iterable[Placement]) -> dict[str, int] | None:
-    """Tasks of the job that each zone may still take; None: no bound.
+def zone_room(spec: JobSpec, others: Iterable[Placement]) -> Mapping[str, int] | None:
+    """Tasks of the job that each zone may still take; None: no bound. A zone not named takes any.
 
     Counts what is still on machines, whatever its attempt.
     """
@@ -139,20 +106,35 @@
         return None
     used = Counter(placement.machine.zone for placement in others)
     if spec.one_zone:
-        if not used:
-            return {}
-        return {zone: (1_000_000 if len(used) == 1 else 0) for zone in used}
-    half = (spec.tasks + 1) // 2
-    return {zone: half - count for zone, count in used.items()}
+        return _OnlyZone(used)
+    return _HalfEach((spec.tasks + 1) // 2, used)
+
+
+class _OnlyZone(dict[str, int]):
+    """All tasks in one zone: the one where the others are, if there are any."""
 
+    def __init__(self, used: Counter[str]) -> None:
+        super().__init__({zone: (1_000_000 if len(used) == 1 else 0) for zone in used})
+        self._else = 0 if used else 1_000_000
 
-def choose(spec: JobSpec, machines: Sequence[Machine], others: Iterable[Placement], scorer: Scorer) -> Machine | None:
-    """The machine left fullest for one task."""
-    room = zone_room(spec, others)
-    if room is not None:
-        fallback = 0 if spec.one_zone and room else (spec.tasks + 1) // 2
-        machines = [machine for machine in machines if room.get(machine.zone, fallback) > 0]
-    return min(machines, key=scorer.rank, default=None)
+    def __missing__(self, zone: str) -> int:
+        return self._else
+
+
+class _HalfEach(dict[str, int]):
+    """At most half of the tasks, rounded up, in one zone."""
+
+    def __init__(self, half: int, used: Counter[str]) -> None:
+        super().__init__({zone: half - count for zone, count in used.items()})
+        self._else = half
+
+    def __missing__(self, zone: str) -> int:
+        return self._else
+
+
+def ranked(machines: Sequence[Machine], scorer: Scorer) -> list[Machine]:
+    """The machine left fullest first. A machine that takes one task is left fuller, so it takes all it can."""
+    return sorted(machines, key=scorer.rank) if len(machines) > 1 else list(machines)
 
 
 def choose_all(spec: JobSpec, machines: Sequence[Machine], count: int, scorer: Scorer) -> list[Machine] | None:
@@ -173,12 +155,17 @@
 def _fill(
     spec: JobSpec, machines: Sequence[Machine], count: int, most_per_zone: int, scorer: Scorer
 ) -> list[Machine] | None:
+    if sum(machine.room_for(spec) for machine in machines) < count:
+        return None  # not worth ranking them
     found: list[Machine] = []
     zones: Counter[str] = Counter()
-    for machine in sorted(machines, key=scorer.rank):
+    for machine in ranked(machines, scorer):
         take = min(machine.room_for(spec), count - len(found), most_per_zone - zones[machine.zone])
         found += [machine] * max(take, 0)
         zones[machine.zone] += max(take, 0)
         if len(found) == count:
             return found
     return None
+
+
+__all__ = ["Offer", "Scorer", "allows", "busy_until", "choose_all", "fetch_time", "ranked", "slot_cost", "slots"]
--- /dev/null
+++ b/gingerspar/coordination/placer.py
@@ -0,0 +1,202 @@
+"""The placing pass: gives places to open tasks, by priority, then earliest due."""
+
+import logging
+from collections.abc import Sequence
+from datetime import timedelta
+
+from gingerspar.coordination import placement as placing
+from gingerspar.coordination.book import Book
+from gingerspar.coordination.ledger import Machine
+from gingerspar.coordination.pool import allows
+from gingerspar.coordination.room import RoomMaker
+from gingerspar.coordination.runs import GangState, JobRun
+from gingerspar.protocol.messages import JobSpec, Priority
+from gingerspar.storage.records import Order
+
+log = logging.getLogger(__name__)
+
+MOST_LOOKS = 6000  # machines looked at in one go; then reports and reads get their turn
+LOOK_AGAIN = timedelta(seconds=2)  # so long may a change go unseen that no machine announces
+
+Signature = tuple[object, ...]
+
+
+def _signature(spec: JobSpec) -> Signature:
+    """Jobs that are alike in this find room on the same machines."""
+    return (spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot)
+
+
+class Placer:
+    """Goes through the backlog in order; a pass that grows too long goes on later.
+
+    A run that found no room is compared again only with machines that have gained some.
+    """
+
+    def __init__(self, book: Book) -> None:
+        self._book = book
+        self._room = RoomMaker(book)
+        self._gained: list[Machine] = []  # what the walk under way compares runs with
+        self._walked: Order | None = None  # up to here
+        self._looked_again = timedelta(0)
+        self._found: dict[Signature, list[Machine]] = {}  # machines with room, by kind of task
+
+    def place(self, now: timedelta) -> bool:
+        """True once everything that changed has been looked at."""
+        book, pool, backlog = self._book, self._book.pool, self._book.backlog
+        backlog.due(now)
+        if now - self._looked_again >= LOOK_AGAIN:
+            self._looked_again = now
+            backlog.look_again()
+        if self._walked is None:
+            self._gained = pool.take_gained()
+        if not self._gained and not backlog.unseen:
+            return True
+        self._found = {}
+        until = pool.looked_at + MOST_LOOKS
+        gained = self._gained
+        orders = list(backlog.waiting) if gained else list(backlog.unseen)
+        for order in orders:
+            run = backlog.waiting.get(order)
+            if run is None:
+                continue  # placed or stopped meanwhile
+            unseen = order in backlog.unseen
+            if not unseen and (not gained or (self._walked is not None and order <= self._walked)):
+                continue
+            if not book.blocked(run):
+                self._serve(run, None if unseen else gained, now)
+            if pool.looked_at >= until:
+                self._walked = order if gained else None
+                return False
+        self._walked, self._gained = None, []
+        return not pool.any_gained
+
+    def _serve(self, run: JobRun, among: Sequence[Machine] | None, now: timedelta) -> None:
+        """Places what can be placed; ``among``: only these machines are new to it."""
+        team_room = self._book.team_room(run.spec)
+        if team_room < (run.spec.tasks if run.gangs else 1):
+            return  # stays as it is: room in the team, not on machines, is what it waits for
+        if run.gangs:
+            own = among is not None and any(machine in run.booked for machine in among)
+            if among is None or own or self._room.due(run, now) or self._usable(run, among):
+                self._place_gang(run, now)
+                self._book.backlog.seen(run)
+        else:
+            machines = self._with_room(run) if among is None else self._usable(run, among)
+            if machines:
+                self._place_tasks(run, machines, team_room, now)
+            if not run.open or self._book.team_room(run.spec) > 0:
+                self._book.backlog.seen(run)  # else it is the limit that it waits for
+
+    # -- machines for a run ---------------------------------------------------
+
+    def _usable(self, run: JobRun, machines: Sequence[Machine]) -> list[Machine]:
+        spec = run.spec
+        self._book.pool.looked_at += len(machines)
+        found = [
+            machine
+            for machine in machines
+            if machine.room_for(spec) > 0 and allows(spec, machine.type, machine.zone, machine.spot)
+        ]
+        return self._without_failures(run, found)
+
+    def _with_room(self, run: JobRun) -> list[Machine]:
+        """All machines with room for its tasks; within a pass they only lose some."""
+        key = _signature(run.spec)
+        known = self._found.get(key)
+        if known is None:
+            found = self._book.pool.with_room(run.spec)
+        else:
+            self._book.pool.looked_at += len(known)
+            found = [machine for machine in known if machine.room_for(run.spec) > 0]
+        self._found[key] = found
+        return self._without_failures(run, found)
+
+    def _without_failures(self, run: JobRun, machines: list[Machine]) -> list[Machine]:
+        """Without the machines where this job failed while it ran well elsewhere."""
+        if not run.failures:
+            return machines
+        return [machine for machine in machines if machine.name not in run.failures] or machines
+
+    # -- gangs ----------------------------------------------------------------
+
+    def _place_gang(self, run: JobRun, now: timedelta) -> None:
+        spec, book = run.spec, self._book
+        kept = list(run.booked)
+        book.unbook(run)
+        machines = self._with_room(run)
+        if kept:
+            there = {machine.name for machine in machines}
+            machines = machines + [m for m in kept if m.name not in there and self._ready(m, spec)]
+        found = placing.choose_all(spec, machines, spec.tasks, placing.Scorer(spec, book.types, now))
+        if found is None:
+            self._room.make(run, machines, now)
+            return
+        run.booked_since = None
+        if run.record.attempt <= run.used_attempt:
+            counts: dict[Machine, int] = {}
+            for machine in found:
+                counts[machine] = counts.get(machine, 0) + 1
+            book.book(run, counts, now)  # the new attempt is on its way
+            return
+        log.debug("gang %s placed", spec.job)
+        for number, machine in enumerate(found):
+            book.plan(run, number, machine, now)
+        run.set_gang(GangState.PLACED)
+        book.backlog.refile(run, now)
+
+    def _ready(self, machine: Machine, spec: JobSpec) -> bool:
+        return self._book.pool.takes_tasks(machine) and machine.room_for(spec) > 0
+
+    # -- arrays and services --------------------------------------------------
+
+    def _place_tasks(self, run: JobRun, machines: list[Machine], team_room: int, now: timedelta) -> None:
+        spec, book = run.spec, self._book
+        careful = not spec.gpus and spec.priority.rank > Priority.HIGH.rank and bool(book.accelerated)
+        if careful:
+            machines = self._beside_accelerated(spec, machines)
+        zones = placing.zone_room(spec, run.live) if spec.one_zone or spec.spread else None
+        if len(run.open) < sum(machine.room_for(spec) for machine in machines):
+            machines = placing.ranked(machines, placing.Scorer(spec, book.types, now))
+        attempt, left = run.record.attempt, team_room
+        for machine in machines:
+            room = machine.room_for(spec)
+            for number in list(run.open[: room + len(machine.exited)]):
+                if left <= 0 or room <= 0 or (zones is not None and zones[machine.zone] <= 0):
+                    break
+                if machine.exited and (spec.job, number, attempt) in machine.exited:
+                    continue  # it still lists this attempt as exited and would ignore its `run`
+                if careful and machine.kind is not None and machine.kind.gpus and not self._spare(spec, machine):
+                    break
+                book.plan(run, number, machine, now)
+                left -= 1
+                room -= 1
+                if zones is not None:
+                    zones = placing.zone_room(spec, run.live)
+            if left <= 0 or not run.open:
+                break
+        book.backlog.refile(run, now)
+
+    def _beside_accelerated(self, spec: JobSpec, machines: list[Machine]) -> list[Machine]:
+        """Keeps routine work from taking the processors that free accelerators need.
+
+        Unless no machine without accelerators can do it at all.
+        """
+        if not any(not kind.gpus and placing.slots(kind, spec) for kind in self._book.types.values()):
+            return machines
+        return [machine for machine in machines if self._spare(spec, machine)]
+
+    def _spare(self, spec: JobSpec, machine: Machine) -> bool:
+        """Room for the task besides what tasks on the machine's free accelerators would take."""
+        kind = machine.kind
+        if kind is None or machine.room_for(spec) <= 0:
+            return False
+        if not kind.gpus or spec.gpus:
+            return True
+        cpus, _, memory = machine.free()
+        for other in self._book.accelerated.values():
+            count = machine.room_for(other)
+            if spec.cpus + other.cpus * count > cpus + 1e-9:
+                return False
+            if spec.memory_gb + other.memory_gb * count > memory + 1e-9:
+                return False
+        return True
--- a/gingerspar/coordination/reconciler.py
+++ b/gingerspar/coordination/reconciler.py
@@ -21,14 +21,16 @@
 
 def lapsed(view: WatchedView, most: int) -> list[Change]:
     """Running records whose claimant's session is over; the attempt stays as it is."""
-    batch: list[Change] = []
-    for job, entry in view.jobs.items():
-        claimant = entry.record.claimant
-        if entry.record.status is JobStatus.RUNNING and claimant is not None and not view.session_alive(claimant):
-            batch.append(Change(job, entry.version, released(entry)))
-            if len(batch) >= most:
-                break
-    return batch
+    found = [
+        entry
+        for entry in view.jobs.values()
+        if entry.record.status is JobStatus.RUNNING
+        and entry.record.claimant is not None
+        and not view.session_alive(entry.record.claimant)
+    ]
+    # The most urgent ones first: they are claimed again in that order too.
+    found.sort(key=lambda entry: entry.record.order)
+    return [Change(entry.record.spec.job, entry.version, released(entry)) for entry in found[:most]]
 
 
 class Reconciler:
--- /dev/null
+++ b/gingerspar/coordination/room.py
@@ -0,0 +1,142 @@
+"""Room for gangs: kept free piece by piece, and made by stopping what is less urgent."""
+
+import logging
+from dataclasses import dataclass
+from datetime import timedelta
+
+from gingerspar.coordination import placement as placing
+from gingerspar.coordination.book import NO_GRACE, Book
+from gingerspar.coordination.ledger import Machine, Placement
+from gingerspar.coordination.runs import JobRun
+
+log = logging.getLogger(__name__)
+
+PREEMPT_AFTER = timedelta(seconds=1.5)  # a gang waits this long for room to come by itself
+SEEK_AGAIN = timedelta(seconds=1)  # so often one gang's room is worked out
+KEEP_AT_MOST = timedelta(seconds=30)  # room that has not become enough by then is given up
+KEEP_PAUSE = timedelta(seconds=15)  # ... for so long, so that others get on
+
+
+@dataclass(slots=True)
+class Slot:
+    """A place for one task of the gang, and what must be stopped for it."""
+
+    lost: float
+    machine: Machine
+    victims: list[Placement]
+
+    @property
+    def rank(self) -> tuple[float, str]:
+        return (self.lost, self.machine.name)
+
+
+class RoomMaker:
+    """Keeps and makes room for gangs that fit nowhere."""
+
+    def __init__(self, book: Book) -> None:
+        self._book = book
+
+    def due(self, run: JobRun, now: timedelta) -> bool:
+        """Whether the gang has waited long enough since its room was last worked out."""
+        if run.waiting_since is None or now - run.waiting_since < PREEMPT_AFTER:
+            return False
+        return run.room_sought is None or now - run.room_sought >= SEEK_AGAIN
+
+    def make(self, run: JobRun, with_room: list[Machine], now: timedelta) -> None:
+        """Books room for the gang and stops work of lower priority where that helps.
+
+        Stopping is worth it only if the gang then fits; what loses least goes first. If it
+        doesn't, the gang still keeps what is free, so that small tasks and small gangs
+        that come after it don't take it away piece by piece.
+        """
+        spec = run.spec
+        if run.waiting_since is None or now - run.waiting_since < PREEMPT_AFTER or spec.spread:
+            return
+        if run.booked_since is not None and now - run.booked_since > KEEP_AT_MOST:
+            if now - run.booked_since < KEEP_AT_MOST + KEEP_PAUSE:
+                return  # it had its time: others must not starve for it
+            run.booked_since = None
+        run.room_sought = now
+        slots: list[Slot] = []
+        for machine in self._book.pool.allowed(spec):
+            ahead = machine.look_ahead()
+            if ahead.lowest_rank > spec.priority.rank and machine.live:
+                slots += self._by_stopping(run, machine, now)
+            else:
+                slots += [Slot(0.0, machine, [])] * min(machine.room_for(spec), spec.tasks)
+        slots.sort(key=lambda slot: slot.rank)
+        if spec.one_zone:
+            slots = _best_zone(slots)
+        if len(slots) >= spec.tasks:
+            self._take(run, slots[: spec.tasks], now)
+        elif self._could_fit(run):
+            self._take(run, [slot for slot in slots if not slot.victims], now)
+
+    def _take(self, run: JobRun, slots: list[Slot], now: timedelta) -> None:
+        room: dict[Machine, int] = {}
+        for slot in slots:
+            room[slot.machine] = room.get(slot.machine, 0) + 1
+        self._book.book(run, room, now)
+        for slot in slots:
+            for victim in slot.victims:
+                if victim.stop is None and victim.live:
+                    log.info("stopping %s on %s to make room for %s", victim.name, slot.machine.name, run.spec.job)
+                    grace = victim.spec.save_time if victim.spec.checkpoint_s else NO_GRACE
+                    theirs = self._book.runs[victim.job]
+                    if theirs.gangs:
+                        self._book.stop_run(theirs, grace, now)
+                    else:
+                        self._book.stop(victim, grace, now)
+
+    def _could_fit(self, run: JobRun) -> bool:
+        """Whether the machines there are would hold the gang if they were empty."""
+        spec = run.spec
+        zones: dict[str, int] = {}
+        for machine in self._book.pool.allowed(spec):
+            if machine.kind is not None:
+                zone = machine.zone if spec.one_zone else ""
+                zones[zone] = zones.get(zone, 0) + placing.slots(machine.kind, spec)
+        return max(zones.values(), default=0) >= spec.tasks
+
+    def _by_stopping(self, run: JobRun, machine: Machine, now: timedelta) -> list[Slot]:
+        """Places for tasks of the gang on one machine, each with what must be stopped for it."""
+        spec = run.spec
+        victims = [p for p in machine.live.values() if p.spec.priority.rank > spec.priority.rank]
+        victims.sort(key=lambda p: (p.stop is None, lost_work(p, now)))
+        cpus, gpus, memory = machine.free()
+        found: list[Slot] = []
+        chosen: list[Placement] = []
+        lost = 0.0
+        while len(found) < spec.tasks:
+            if cpus + 1e-9 >= spec.cpus and gpus + 1e-9 >= spec.gpus and memory + 1e-9 >= spec.memory_gb:
+                cpus, gpus, memory = cpus - spec.cpus, gpus - spec.gpus, memory - spec.memory_gb
+                found.append(Slot(lost, machine, chosen))
+                chosen = []
+            elif victims:
+                victim = victims.pop(0)
+                chosen.append(victim)
+                if victim.stop is None:
+                    lost += 1.0 + lost_work(victim, now)
+                theirs = victim.spec
+                cpus, gpus, memory = cpus + theirs.cpus, gpus + theirs.gpus, memory + theirs.memory_gb
+            else:
+                break
+        return found
+
+
+def _best_zone(slots: list[Slot]) -> list[Slot]:
+    """The slots in the zone that has the most of them."""
+    counts: dict[str, int] = {}
+    for slot in slots:
+        counts[slot.machine.zone] = counts.get(slot.machine.zone, 0) + 1
+    best = max(counts, key=lambda zone: (counts[zone], zone), default="")
+    return [slot for slot in slots if slot.machine.zone == best]
+
+
+def lost_work(placement: Placement, now: timedelta) -> float:
+    """Resource seconds that a stop throws away, fetched image included."""
+    spec = placement.spec
+    seconds = (now - (placement.running_since or placement.since)).total_seconds()
+    if spec.checkpoint_s:
+        seconds = spec.save_s
+    return seconds * (spec.cpus + 10 * spec.gpus)
--- /dev/null
+++ b/gingerspar/coordination/roster.py
@@ -0,0 +1,154 @@
+"""The roster: which machines may run tasks, kept in the state service.
+
+A machine is on it before its first `run`. Machines of one type, zone and kind share a
+key, as many as fit a value: a fleet that boots at once costs a few changes, not one
+for each machine.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+
+from gingerspar.coordination.ledger import Machine, MachineState
+from gingerspar.coordination.pool import Offer
+from gingerspar.coordination.session import Session
+from gingerspar.protocol.messages import KeyVersion, Put, Transaction
+from gingerspar.storage import records
+from gingerspar.storage.budgets import Urgency
+from gingerspar.storage.client import Conflict, LeaseGone, StateClient, Unavailable, Unknown
+from gingerspar.storage.records import RosterRecord
+from gingerspar.storage.view import WatchedView
+
+log = logging.getLogger(__name__)
+
+STRIKE_AFTER = timedelta(seconds=3)  # machines that are gone may stay on the roster for so long
+TXN_BYTES = 48 * 1024
+
+
+def plan_groups(
+    groups: dict[str, RosterRecord], new: Iterable[tuple[str, Offer]], gone: set[str], value_bytes: int
+) -> dict[str, RosterRecord]:
+    """The groups that change when machines come and go, with their new members."""
+    members = {key: [name for name in group.names if name not in gone] for key, group in groups.items()}
+    offers = {key: (group.type, group.zone, group.spot) for key, group in groups.items()}
+    changed = {key for key, group in groups.items() if len(members[key]) != len(group.names)}
+    most = value_bytes - 512
+    sizes = {key: sum(len(name) + 3 for name in names) for key, names in members.items()}
+    number = 0
+    for name, offer in new:
+        fitting = (key for key in members if offers[key] == offer and sizes[key] + len(name) + 3 <= most)
+        key = next(fitting, "")
+        while not key:
+            candidate = f"{records.ROSTER}{number:04d}"
+            number += 1
+            if candidate not in members:
+                key = candidate
+                members[key], offers[key], sizes[key] = [], offer, 0
+        members[key].append(name)
+        sizes[key] += len(name) + 3
+        changed.add(key)
+    return {key: RosterRecord(*offers[key], tuple(members[key])) for key in sorted(changed)}
+
+
+class Roster:
+    """Writes the roster for one term."""
+
+    def __init__(
+        self,
+        term: int,
+        client: StateClient,
+        view: WatchedView,
+        session: Session,
+        enlisted: Callable[[], None],
+    ) -> None:
+        self._term = term
+        self._client = client
+        self._view = view
+        self._session = session
+        self._enlisted = enlisted
+        self._new: dict[str, Machine] = {}
+        self._gone: set[str] = set()
+        self._wake = asyncio.Event()
+
+    def reported(self, machine: Machine) -> None:
+        """A machine is up: tasks may be sent to it once it is on the roster."""
+        if not machine.rostered and machine.name not in self._new:
+            self._new[machine.name] = machine
+            self._wake.set()
+
+    def strike(self, names: Iterable[str]) -> None:
+        """Machines that are certainly gone."""
+        self._gone.update(names)
+
+    async def run(self) -> None:
+        while True:
+            try:
+                await asyncio.wait_for(self._wake.wait(), STRIKE_AFTER.total_seconds())
+                await asyncio.sleep(0.03)  # machines that boot at once come in together
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            if self._new or self._gone:
+                await self._write()
+
+    async def _write(self) -> None:
+        term = self._view.term
+        if term is None or term[0].term != self._term:
+            return
+        listed = {name for record, _ in self._view.roster.values() for name in record.names}
+        for name, machine in list(self._new.items()):
+            if machine.state not in (MachineState.READY, MachineState.LEAVING):
+                del self._new[name]  # it has gone; if it comes back, it reports again
+            elif name in listed:
+                del self._new[name]  # a write without an answer has been applied
+                machine.enlist()
+        new = dict(self._new)
+        gone = set(self._gone)
+        groups = {key: record for key, (record, _) in self._view.roster.items()}
+        changed = plan_groups(
+            groups, [(m.name, (m.type, m.zone, m.spot)) for m in new.values()], gone, self._client.value_bytes
+        )
+        puts: list[Put] = []
+        size = 0
+        for key, record in changed.items():
+            put = Put(key, records.pack(record))
+            size += len(put.value) + 200
+            if puts and (size > TXN_BYTES or len(puts) >= self._client.most_puts):
+                self._wake.set()  # the rest goes with the next transaction
+                break
+            puts.append(put)
+        if puts and not await self._commit(puts, Urgency.CLAIM if new else Urgency.BACKGROUND):
+            await asyncio.sleep(0.2)
+            self._wake.set()
+            return
+        written = {name for put in puts for name in changed[put.key].names}
+        for name, machine in new.items():
+            if name in written:
+                del self._new[name]
+                machine.enlist()
+        still = {name for record, _ in self._view.roster.values() for name in record.names}
+        self._gone -= gone - still
+        self._enlisted()
+
+    async def _commit(self, puts: list[Put], urgency: Urgency) -> bool:
+        term = self._view.term
+        if term is None:
+            return False
+        # Conditional on the term: a later holder reads a roster that only it adds to. And on
+        # each group: a write without an answer that is applied late must not undo a later one.
+        conditions = [self._session.condition(), KeyVersion(records.TERM, term[1])]
+        known = self._view.roster
+        conditions += [KeyVersion(put.key, known[put.key][1] if put.key in known else 0) for put in puts]
+        try:
+            version = await self._client.commit(Transaction(conditions, [*puts]), urgency)
+        except (Conflict, Unknown) as error:
+            log.debug("roster: %r", error)
+            await self._view.barrier(timedelta(seconds=1))
+            return False
+        except (LeaseGone, Unavailable) as error:
+            log.debug("roster: %r", error)
+            return False
+        for put in puts:
+            self._view.apply(put.key, bytes(put.value), version)
+        return True
--- /dev/null
+++ b/gingerspar/coordination/runs.py
@@ -0,0 +1,149 @@
+"""Unfinished jobs as the holder sees them, and the backlog of those that wait."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+
+from sortedcontainers import SortedDict, SortedSet
+
+from gingerspar.coordination.ledger import Machine, Placement
+from gingerspar.protocol.messages import JobSpec, JobStatus, Priority, Shape
+from gingerspar.storage.records import JobRecord, Order, TaskSet
+
+FIRST_BACKOFF = timedelta(seconds=1)
+
+
+class GangState(Enum):
+    IDLE = "idle"  # nothing of it on any machine
+    PLACED = "placed"  # all its tasks have places
+    STOPPING = "stopping"  # it lost a task or is stopped: waits until all are gone
+
+
+@dataclass(slots=True, eq=False)
+class JobRun:
+    """An unfinished job, or a finished one with tasks still on machines."""
+
+    spec: JobSpec
+    record: JobRecord
+    finished: TaskSet  # as the record says, plus what reports say
+    saved: TaskSet  # as the record says
+    unsaved: set[int] = field(default_factory=set)  # finished, not yet in the record
+    open: "SortedSet[int]" = field(default_factory=SortedSet)
+    places: dict[int, list[Placement]] = field(default_factory=dict)  # live ones
+    running: int = 0  # live ones that run or save
+    gang: GangState = GangState.IDLE
+    used_attempt: int = 0  # highest attempt that may have been started
+    not_before: timedelta | None = None
+    backoff: timedelta = FIRST_BACKOFF
+    failures: dict[str, int] = field(default_factory=dict)  # errors by machine
+    ran_well: bool = False  # a task of it was done somewhere
+    over: bool = False
+    told: timedelta | None = None  # when the claimant was last told of `unsaved`
+    reclaim_asked: timedelta | None = None
+    waiting_since: timedelta | None = None
+    seen_open: int = 0  # open tasks when a pass last compared it with all machines
+    booked: dict[Machine, int] = field(default_factory=dict)  # room that is kept for a gang
+    booked_since: timedelta | None = None
+    room_sought: timedelta | None = None  # when work was last looked at that could make room
+
+    @property
+    def order(self) -> Order:
+        return self.record.order
+
+    @property
+    def live(self) -> list[Placement]:
+        return [placement for places in self.places.values() for placement in places]
+
+    @property
+    def gangs(self) -> bool:
+        return self.spec.shape is Shape.GANG
+
+    def set_gang(self, state: GangState) -> None:
+        """The only place where a gang's state changes."""
+        self.gang = state
+
+    @property
+    def waits(self) -> bool:
+        """Claimed, and at least one task has no place; a gang starts only as a whole."""
+        if not self.open or self.over or self.record.status is not JobStatus.RUNNING:
+            return False
+        if self.gangs:
+            return self.gang is GangState.IDLE and not self.places and len(self.open) >= self.spec.tasks
+        return True
+
+    @property
+    def needs_attempt(self) -> bool:
+        """A gang whose attempt may have been used needs a new one before it starts."""
+        return self.gangs and self.waits and self.record.attempt <= self.used_attempt
+
+
+class Backlog:
+    """Runs with open tasks, by priority, then earliest due.
+
+    ``unseen`` are those that a pass has to compare with all machines. The others found
+    no room at their last look; since then only machines that gained room can help them.
+    """
+
+    def __init__(self) -> None:
+        self.waiting: SortedDict[Order, JobRun] = SortedDict()
+        self.unseen: SortedDict[Order, JobRun] = SortedDict()
+        self.lacking_attempt: dict[str, JobRun] = {}
+        self._delayed: dict[str, JobRun] = {}
+
+    def refile(self, run: JobRun, now: timedelta, *, fresh: bool = False) -> None:
+        """To be called after each change of what makes a run wait; ``fresh``: look at it anew."""
+        order = run.order
+        if run.waits and run.not_before is not None and run.not_before > now:
+            self._delayed[run.spec.job] = run
+            self._drop(order)
+        elif run.waits:
+            if order not in self.waiting:
+                run.waiting_since = now
+                self.waiting[order] = run
+                fresh = True
+            if fresh or len(run.open) > run.seen_open:
+                self.unseen[order] = run
+        else:
+            self._drop(order)
+        if run.needs_attempt:
+            self.lacking_attempt[run.spec.job] = run
+        else:
+            self.lacking_attempt.pop(run.spec.job, None)
+            run.reclaim_asked = None
+
+    def _drop(self, order: Order) -> None:
+        self.waiting.pop(order, None)
+        self.unseen.pop(order, None)
+
+    def due(self, now: timedelta) -> None:
+        """Takes up runs whose pause is over."""
+        for job, run in list(self._delayed.items()):
+            if run.not_before is None or run.not_before <= now:
+                del self._delayed[job]
+                self.refile(run, now)
+
+    def look_again(self) -> None:
+        """All that wait are compared with all machines once more."""
+        self.unseen.update(self.waiting)
+
+    def seen(self, run: JobRun) -> None:
+        """A pass has compared it with all machines."""
+        run.seen_open = len(run.open)
+        self.unseen.pop(run.order, None)
+
+    def __iter__(self) -> Iterator[JobRun]:
+        return iter(list(self.waiting.values()))
+
+
+def stranger(job: str) -> JobSpec:
+    """Stands for a job that no record tells of."""
+    return JobSpec(
+        job=job, jobclass="", team="", shape=Shape.ARRAY, priority=Priority.LOW, tasks=1, cpus=0.0, memory_gb=0.0
+    )
+
+
+def recordless(spec: JobSpec) -> JobRun:
+    """Stands for a job that is over, whose tasks are still found on machines."""
+    record = JobRecord(spec=spec, status=JobStatus.CANCELLED)
+    return JobRun(spec, record, TaskSet(spec.tasks), TaskSet(spec.tasks), over=True)
--- a/gingerspar/protocol/messages.py
+++ b/gingerspar/protocol/messages.py
@@ -221,7 +221,10 @@
     token: int = 0
     spot: bool = False
     notice_s: float | None = None
-    tasks: list[TaskReport] = []
+    tasks: msgspec.Raw = msgspec.Raw(b"[]")  # read by ``listed`` only if it differs from the report before
+
+    def listed(self) -> list[TaskReport]:
+        return decode(list[TaskReport], self.tasks) if bytes(self.tasks) != b"null" else []
 
 
 class Verb(Enum):
@@ -393,12 +396,20 @@
     lease: int
 
 
+_encoder = msgspec.json.Encoder()
+_decoders: dict[Any, msgspec.json.Decoder[Any]] = {}
+
+
 def encode(message: Any) -> bytes:
-    return msgspec.json.encode(message)
+    return _encoder.encode(message)
 
 
-def decode(kind: type[T], data: bytes) -> T:
+def decode(kind: type[T], data: bytes | msgspec.Raw) -> T:
+    decoder = _decoders.get(kind)
+    if decoder is None:
+        decoder = _decoders[kind] = msgspec.json.Decoder(kind)
     try:
-        return msgspec.json.decode(data, type=kind)
+        found: T = decoder.decode(data)
+        return found
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise Malformed(str(error)) from error
--- a/gingerspar/protocol/peers.py
+++ b/gingerspar/protocol/peers.py
@@ -38,12 +38,11 @@
 
 
 class Finished(msgspec.Struct, tag="finished"):
-    """The dispatcher tells the claimant which tasks are done."""
+    """The dispatcher tells the claimant which tasks of its jobs are done."""
 
     node: str
     term: int
-    job: str
-    tasks: list[int]
+    jobs: dict[str, list[int]]
 
 
 class Reclaim(msgspec.Struct, tag="reclaim"):
--- a/gingerspar/protocol/settings.py
+++ b/gingerspar/protocol/settings.py
@@ -127,6 +127,7 @@
     sweep_batch: int = 8
     idle_return_s: float = 120.0
     result_interval_s: float = 0.3
+    result_delay_s: float = 4.0
 
     @property
     def session_ttl(self) -> timedelta:
@@ -136,6 +137,10 @@
     def idle_return(self) -> timedelta:
         return timedelta(seconds=self.idle_return_s)
 
+    @property
+    def result_delay(self) -> timedelta:
+        return timedelta(seconds=self.result_delay_s)
+
     @property
     def result_interval(self) -> timedelta:
         return timedelta(seconds=self.result_interval_s)
@@ -147,6 +152,7 @@
     "sweep_batch": (1, 1000),
     "idle_return_s": (0.0, 86400.0),
     "result_interval_s": (0.0, 60.0),
+    "result_delay_s": (0.0, 60.0),
 }
 
 
--- a/gingerspar/storage/records.py
+++ b/gingerspar/storage/records.py
@@ -11,7 +11,7 @@
 JOBS = PREFIX + "j/"
 FINISHED = PREFIX + "f/"
 NODES = PREFIX + "n/"
-ROSTER = PREFIX + "m/"
+ROSTER = PREFIX + "r/"
 TERM = PREFIX + "term"
 
 
@@ -23,14 +23,14 @@
     return NODES + node
 
 
-def roster_key(machine: str) -> str:
-    return ROSTER + machine
-
-
 def finished_key(job: str, chunk: int) -> str:
     return f"{FINISHED}{job}/{chunk:04d}"
 
 
+# Priority, then due time, then submission, then the job's id.
+Order = tuple[int, float, float, str]
+
+
 class TaskSet:
     """Task numbers as a bitmap: 100,000 of them take 12.5 KB."""
 
@@ -71,6 +71,17 @@
     def missing(self) -> Iterator[int]:
         return (number for number in range(self._size) if number not in self)
 
+    def beyond(self, other: "TaskSet") -> list[int]:
+        """Members that ``other``, of the same size, has not."""
+        found: list[int] = []
+        for place, (mine, theirs) in enumerate(zip(self._bits, other._bits, strict=True)):
+            more = mine & ~theirs
+            while more:
+                lowest = more & -more
+                found.append(place * 8 + lowest.bit_length() - 1)
+                more ^= lowest
+        return found
+
     def copy(self) -> "TaskSet":
         other = TaskSet(0)
         other._size, other._bits, other._count = self._size, bytearray(self._bits), self._count
@@ -116,7 +127,7 @@
         return self.submitted + self.spec.due_s if self.spec.due_s is not None else float("inf")
 
     @property
-    def order(self) -> tuple[int, float, float, str]:
+    def order(self) -> Order:
         """Priority, then earliest due, then earliest submitted."""
         return (self.spec.priority.rank, self.due, self.submitted, self.spec.job)
 
@@ -145,11 +156,12 @@
 
 
 class RosterRecord(msgspec.Struct, frozen=True):
-    """A machine that may run tasks."""
+    """Machines that may run tasks, of one type, zone and kind."""
 
     type: str
     zone: str
     spot: bool
+    names: tuple[str, ...] = ()
 
 
 class ChunkRecord(msgspec.Struct, frozen=True):
--- a/gingerspar/storage/view.py
+++ b/gingerspar/storage/view.py
@@ -65,7 +65,7 @@
         self.jobs: dict[str, Versioned] = {}  # unfinished ones
         self.final: dict[str, FinalRecord] = {}
         self.nodes: dict[str, int] = {}  # node -> version of its session key
-        self.roster: dict[str, tuple[RosterRecord, int]] = {}
+        self.roster: dict[str, tuple[RosterRecord, int]] = {}  # by key: a group of machines each
         self.term: tuple[TermRecord, int] | None = None
         self._gone: dict[str, int] = {}  # tombstones of our own deletions until the watch passes them
         self._chunks: dict[str, dict[int, tuple[str, int]]] = {}
@@ -180,7 +180,7 @@
     def _known(self) -> list[tuple[str, int]]:
         known = [(records.job_key(job), entry.version) for job, entry in self.jobs.items()]
         known += [(records.node_key(node), version) for node, version in self.nodes.items()]
-        known += [(records.roster_key(name), version) for name, (_, version) in self.roster.items()]
+        known += [(key, version) for key, (_, version) in self.roster.items()]
         return known
 
     def apply(self, key: str, value: bytes | None, version: int) -> None:
@@ -194,7 +194,7 @@
         elif key.startswith(records.NODES):
             self._apply_node(key[len(records.NODES) :], value, version)
         elif key.startswith(records.ROSTER):
-            self._apply_roster(key[len(records.ROSTER) :], value, version)
+            self._apply_roster(key, value, version)
         elif key.startswith(records.FINISHED):
             self._apply_chunk(key[len(records.FINISHED) :], value, version)
         elif key == records.TERM and value is not None and (self.term is None or self.term[1] < version):
@@ -238,14 +238,18 @@
         for listener in self.on_node:
             listener(node)
 
-    def _apply_roster(self, machine: str, value: bytes | None, version: int) -> None:
-        known = self.roster.get(machine)
+    def _apply_roster(self, key: str, value: bytes | None, version: int) -> None:
+        known = self.roster.get(key)
         if known is not None and known[1] >= version:
             return
         if value is None:
-            self.roster.pop(machine, None)
+            self.roster.pop(key, None)
         else:
-            self.roster[machine] = (msgspec.json.decode(value, type=RosterRecord), version)
+            self.roster[key] = (msgspec.json.decode(value, type=RosterRecord), version)
+
+    def rostered(self) -> list[tuple[str, str, str, bool]]:
+        """Name, type, zone and kind of every machine that may run tasks."""
+        return [(name, group.type, group.zone, group.spot) for group, _ in self.roster.values() for name in group.names]
 
     def _apply_chunk(self, name: str, value: bytes | None, version: int) -> None:
         job, _, number = name.rpartition("/")
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from gingerspar.coordination.claims import Change, Claims, claimed, over_limit, with_results
+from gingerspar.coordination.claims import Change, Claims, Held, claimed, with_results
 from gingerspar.coordination.reconciler import lapsed
 from gingerspar.protocol import messages
 from gingerspar.protocol.messages import JobStatus, KeyVersion, Priority
@@ -182,10 +182,10 @@
         spec = messages.parse_job(job(number, **changes))
         return Versioned(JobRecord(spec, status), 1, records.TaskSet(spec.tasks))
 
-    held = entry(1, JobStatus.RUNNING, Pieces=4)
-    assert over_limit(teams, [held], entry(2, JobStatus.PENDING))
+    held = Held([entry(1, JobStatus.RUNNING, Pieces=4), entry(9, JobStatus.PENDING, Pieces=9)])
+    assert held.over_limit(teams, entry(2, JobStatus.PENDING))
     # Routine claims don't keep urgent work of the same team from being claimed.
-    assert not over_limit(teams, [held], entry(3, JobStatus.PENDING, Urgency=Priority.HIGH.value))
+    assert not held.over_limit(teams, entry(3, JobStatus.PENDING, Urgency=Priority.HIGH.value))
     small = entry(4, JobStatus.RUNNING, Pieces=2)
-    assert not over_limit(teams, [small], entry(5, JobStatus.PENDING))
+    assert not Held([small]).over_limit(teams, entry(5, JobStatus.PENDING))
     assert claimed(small, Claimant("A", 1), 3).attempt == 1
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -30,14 +30,14 @@
     cloud = _Cloud()
     workers = WorkerFacts(report_s=2.5, lease_s=18, cancel_s=43)
     dispatcher = Dispatcher(1, timedelta(0), workers, [])
-    machine = dispatcher.add_machine("n-1", "big", "a", False, timedelta(0), MachineState.LOST)
+    machine = dispatcher.book.add_machine("n-1", "big", "a", False, timedelta(0), MachineState.LOST)
     machine.move(MachineState.RETURNING)
     view: Any = SimpleNamespace(on_job=[], roster={}, age=lambda: age[0], final_spec=lambda job: None)
     rest: Any = SimpleNamespace()
     facts: Any = SimpleNamespace()
     post = CommandPost(
         "n1", dispatcher, rest, view, rest, cloud, Clock(), facts, OperatorSettings(),  # type: ignore[arg-type]
-        lambda: True, lambda node, job, tasks: None, lambda node, job, attempt: None,
+        lambda: True, lambda node, jobs: None, lambda node, job, attempt: None,
     )  # fmt: skip
     returning = asyncio.ensure_future(post._give_back([machine]))
     await post._rent(("big", "a", False), 1)
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,150 @@
+"""Several hundred machines: what things cost is counted, not timed."""
+
+from datetime import timedelta
+
+import msgspec
+
+from gingerspar.coordination import placer
+from gingerspar.coordination.dispatcher import Dispatcher
+from gingerspar.coordination.ledger import Machine, MachineState
+from gingerspar.coordination.roster import plan_groups
+from gingerspar.protocol.messages import (
+    Cause,
+    JobSpec,
+    JobStatus,
+    MachineType,
+    Priority,
+    Report,
+    Shape,
+    TaskReport,
+    TaskStatus,
+    encode,
+)
+from gingerspar.protocol.settings import TeamFacts, WorkerFacts
+from gingerspar.storage import records
+from gingerspar.storage.records import Claimant, JobRecord, RosterRecord, TaskSet
+
+MACHINES = 500
+PER_MACHINE = 4
+NOW = timedelta(seconds=10)
+
+
+def _report(name: str, seq: int, tasks: list[TaskReport]) -> Report:
+    return Report(name, "10.0.0.9:1", "box", "a", 1, seq, 1, tasks=msgspec.Raw(encode(tasks)))
+
+
+class Fleet:
+    """A holder with several hundred machines that are up."""
+
+    def __init__(self) -> None:
+        workers = WorkerFacts(report_s=2.5, lease_s=18, cancel_s=43)
+        self.dispatcher = Dispatcher(1, timedelta(0), workers, [TeamFacts("red")])
+        self.dispatcher.set_types([MachineType("box", 16, 64, cache_gb=60, zones=("a",), price=1.0, boot_s=20)])
+        self.seqs: dict[str, int] = {}
+        for number in range(MACHINES):
+            name = f"n-{number:06d}"
+            self.dispatcher.report(_report(name, 1, []), NOW)
+            self.dispatcher.machines[name].enlist()
+            self.seqs[name] = 1
+
+    def job(self, number: int, tasks: int, shape: Shape = Shape.ARRAY, cpus: float = 4.0) -> None:
+        spec = JobSpec(f"wk-{number:06d}", "c", "red", shape, Priority.NORMAL, tasks, cpus, 8.0, estimate_s=60.0)
+        record = JobRecord(spec, JobStatus.RUNNING, 1, Claimant("n1", 1), float(number), 1, 1)
+        self.dispatcher.set_record(spec.job, record, TaskSet(tasks), NOW)
+
+    def place(self) -> int:
+        """Machines looked at until everything has been looked at."""
+        before = self.dispatcher.pool.looked_at
+        for _ in range(1000):
+            self.dispatcher.place(NOW)
+            if not self.dispatcher.dirty:
+                break
+        return self.dispatcher.pool.looked_at - before
+
+    def answer(self, machine: Machine, tasks: list[TaskReport]) -> None:
+        self.seqs[machine.name] += 1
+        report = _report(machine.name, self.seqs[machine.name], tasks)
+        self.dispatcher.commands(self.dispatcher.report(report, NOW), report, NOW)
+
+    def end_one(self, machine: Machine) -> None:
+        """The machine reports that the first of its tasks is done."""
+        self.answer(machine, [])
+        live = list(machine.live.values())
+        tasks = [TaskReport(p.name, p.attempt, TaskStatus.RUNNING) for p in live[1:]]
+        self.answer(machine, [TaskReport(live[0].name, 1, TaskStatus.EXITED, Cause.DONE), *tasks])
+
+
+def test_a_pass_looks_only_at_what_has_changed() -> None:
+    """Grown deployments, before: every pass compared every machine with every open task."""
+    fleet = Fleet()
+    fleet.job(1, MACHINES * PER_MACHINE)
+    assert fleet.place() <= 2 * MACHINES
+    assert all(machine.room_for(fleet.dispatcher.runs["wk-000001"].spec) == 0 for machine in fleet.dispatcher.pool)
+    waiting = 200
+    for number in range(2, 2 + waiting):
+        fleet.job(number, 10)
+    # Nothing has room: full machines are passed over without a look.
+    assert fleet.place() == 0
+    assert fleet.place() == 0
+    machine = fleet.dispatcher.machines["n-000007"]
+    fleet.end_one(machine)
+    # One machine has gained room for one task; each waiting run looks at it, and no other.
+    assert fleet.place() <= 2 * waiting
+    assert len(machine.live) == PER_MACHINE
+    assert len(fleet.dispatcher.runs["wk-000002"].places) == 1
+
+
+def test_waiting_gangs_share_one_search() -> None:
+    fleet = Fleet()
+    fleet.job(1, MACHINES * PER_MACHINE - 2)
+    fleet.place()
+    for number in range(2, 102):
+        fleet.job(number, 3, Shape.GANG)
+    assert fleet.place() <= 10 + 100 * 2
+    assert all(not fleet.dispatcher.runs[f"wk-{number:06d}"].places for number in range(2, 102))
+
+
+def test_a_long_pass_stops_and_goes_on_in_order() -> None:
+    fleet = Fleet()
+    jobs = 3 * placer.MOST_LOOKS // MACHINES
+    for number in range(1, jobs + 1):
+        fleet.job(number, 1)
+    fleet.dispatcher.place(NOW)
+    assert fleet.dispatcher.dirty
+    placed = [number for number in range(1, jobs + 1) if fleet.dispatcher.runs[f"wk-{number:06d}"].places]
+    assert placed == list(range(1, len(placed) + 1))
+    fleet.place()
+    assert all(run.places for run in fleet.dispatcher.runs.values())
+
+
+def test_the_roster_of_a_whole_fleet_takes_few_values() -> None:
+    """One key for each machine made a fleet that boots at once wait behind the write budget."""
+    new = [(f"n-{number:06d}", ("box", "a", number % 2 == 0)) for number in range(1000)]
+    groups = plan_groups({}, new, set(), 8192)
+    assert len(groups) <= 4
+    assert all(len(records.pack(group)) <= 8192 for group in groups.values())
+    assert sorted(name for group in groups.values() for name in group.names) == [name for name, _ in new]
+
+
+def test_the_roster_changes_only_the_groups_concerned() -> None:
+    groups = {
+        "gs/r/0000": RosterRecord("box", "a", False, ("n-1", "n-2")),
+        "gs/r/0001": RosterRecord("box", "a", True, ("n-3",)),
+    }
+    changed = plan_groups(groups, [("n-4", ("box", "a", False))], {"n-1"}, 8192)
+    assert changed == {"gs/r/0000": RosterRecord("box", "a", False, ("n-2", "n-4"))}
+    assert plan_groups(groups, [], {"n-9"}, 8192) == {}
+
+
+def test_machines_are_filed_by_state_and_room() -> None:
+    fleet = Fleet()
+    pool = fleet.dispatcher.pool
+    spec = JobSpec("wk-000001", "c", "red", Shape.ARRAY, Priority.NORMAL, 1, 16.0, 8.0)
+    assert len(pool.with_room(spec)) == MACHINES
+    machine = fleet.dispatcher.machines["n-000003"]
+    machine.move(MachineState.LEAVING)
+    assert len(pool.with_room(spec)) == MACHINES - 1
+    fleet.dispatcher.machines["n-000004"].book(spec, 1)
+    assert len(pool.with_room(spec)) == MACHINES - 2
+    fleet.dispatcher.lost(machine, "test", NOW)
+    assert pool.among(MachineState.LOST) == [machine]
--- a/tests/tracing.py
+++ b/tests/tracing.py
@@ -3,6 +3,8 @@
 import shlex
 from datetime import timedelta
 
+import msgspec
+
 from gingerspar.coordination.dispatcher import Dispatcher, Outdated, Stale
 from gingerspar.coordination.ledger import MachineState
 from gingerspar.protocol.messages import (
@@ -17,6 +19,7 @@
     TaskReport,
     TaskStatus,
     Verb,
+    encode,
 )
 from gingerspar.protocol.settings import TeamFacts, WorkerFacts
 from gingerspar.storage.records import Claimant, JobRecord, TaskSet
@@ -140,7 +143,8 @@
         self._report(
             [words[0], "seq=1", f"token={self.dispatcher.term}", *(w for w in words[1:] if not w.startswith("roster="))]
         )
-        self.dispatcher.machines[words[0]].rostered = given.get("roster") != "no"
+        if given.get("roster") != "no":
+            self.dispatcher.machines[words[0]].enlist()
         self.dispatcher.place(self.now)
 
     def _report(self, words: list[str]) -> None:
@@ -161,7 +165,7 @@
             int(given.get("token", self.dispatcher.term)),
             given.get("spot") == "yes",
             float(given["notice"]) if "notice" in given else None,
-            tasks,
+            msgspec.Raw(encode(tasks)),
         )
         self.refused, self.answer = "", None
         try:
@@ -201,7 +205,7 @@
             run = self.dispatcher.runs[words[0]]
             assert [str(n) for n in sorted(run.unsaved)] == words[1:], f"has {sorted(run.unsaved)}"
         elif what == "wants-attempt":
-            asked = self.dispatcher.needs_attempt(self.dispatcher.runs[words[0]])
+            asked = self.dispatcher.runs[words[0]].needs_attempt
             assert asked == (words[1] == "yes"), f"is {asked}"
         elif what == "unknown-job":
             assert words[0] not in self.dispatcher.runs
