--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -94,7 +94,6 @@
         self._own_term = 0  # the last one that this process held
         self._view.on_term.append(self._term_changed)
         self._claims.reachable = self._dispatcher_reachable
-        self._claims.dispatching = self._dispatching
         self._claims.hand_over = self._hand_over
         self._door.types = lambda: {kind.name: kind for kind in self._types}
         self._door.running = self._running
@@ -399,9 +398,11 @@
                         self._dispatching(),
                         min(self._view.age().total_seconds(), 1e6),
                         self._recent_workers(),
+                        self._client.write_demand,
                     )
                 )
             )
+            self._share_writes()
             now = self._clock.now()
             if self._post is not None and now - counted >= COUNTS:
                 counted = now
@@ -412,6 +413,13 @@
                 )
             await asyncio.sleep(HEARTBEAT.total_seconds())
 
+    def _share_writes(self) -> None:
+        """Peers that are not heard are taken to need an even share."""
+        even = self._facts.state.write_rps / max(self._facts.size, 1)
+        heard = [news.writes for node, news in self._news.items() if self._peer_heard(node)]
+        unheard = max(self._facts.size - 1 - len(heard), 0)
+        self._client.share_writes(heard + [even] * unheard)
+
     def _hear(self, data: bytes) -> None:
         try:
             message = peers.unpack(data)
@@ -421,7 +429,12 @@
         match message:
             case peers.Heartbeat():
                 self._news[message.node] = PeerNews(
-                    self._clock.now(), message.term, message.dispatching, message.state_age, message.workers
+                    self._clock.now(),
+                    message.term,
+                    message.dispatching,
+                    message.state_age,
+                    message.workers,
+                    message.writes,
                 )
             case peers.Counts():
                 if self._view.term is not None and message.term == self._view.term[0].term:
--- a/gingerspar/coordination/book.py
+++ b/gingerspar/coordination/book.py
@@ -138,6 +138,7 @@
         if placement.stop is None or grace < placement.stop:
             placement.stop = grace
             placement.stop_sent = False
+            placement.machine.outlook = None
             self.wake(placement.machine)
 
     def stop_run(self, run: JobRun, grace: timedelta, now: timedelta) -> None:
--- a/gingerspar/coordination/claims.py
+++ b/gingerspar/coordination/claims.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import logging
+import zlib
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
@@ -26,7 +27,7 @@
 
 log = logging.getLogger(__name__)
 
-LEFT_OVER = timedelta(seconds=1)  # a pending record this old is claimed by the dispatcher's node
+LEFT_OVER = timedelta(seconds=1)  # a pending record this old is claimed by whoever's turn it is
 UNREACHABLE = timedelta(seconds=4)  # a claimant cut off from the dispatcher releases its claims
 
 
@@ -106,8 +107,11 @@
         team = teams.get(spec.team)
         if team is None or not (team.cpus_max or team.gpus_max):
             return False
-        ahead = [sums for (name, rank), sums in self._sums.items() if name == spec.team and rank <= spec.priority.rank]
-        cpus, gpus = sum(sums[0] for sums in ahead), sum(sums[1] for sums in ahead)
+        cpus = gpus = 0.0
+        for rank in range(spec.priority.rank + 1):
+            sums = self._sums.get((spec.team, rank))
+            if sums is not None:
+                cpus, gpus = cpus + sums[0], gpus + sums[1]
         return bool(
             (team.cpus_max and spec.cpus and cpus >= team.cpus_max)
             or (team.gpus_max and spec.gpus and gpus >= team.gpus_max)
@@ -154,7 +158,6 @@
         self._result_wake = asyncio.Event()
         self._reached = clock.now()
         self.reachable: Callable[[], bool] = lambda: True  # whether the dispatcher can be handed work
-        self.dispatching: Callable[[], bool] = lambda: False  # whether this node is the dispatcher
         self.hand_over: Callable[[str, int, JobRecord], None] = lambda job, version, record: None
         view.on_job.append(self._job_changed)
 
@@ -230,17 +233,27 @@
         batch: list[Change] = []
         most = min(self._settings.claim_batch, self._client.most_puts)
         held = Held(self._view.jobs.values() if self._pending else ())
-        takes_leftovers = self.dispatching()
+        nodes = sorted(self._view.nodes)
         for job in self._pending.values():
             entry = self._view.jobs[job]
-            mine = job in self._accepted or (takes_leftovers and now - self._since[job] >= LEFT_OVER)
-            if mine and not held.over_limit(self._teams, entry):
+            if held.over_limit(self._teams, entry):
+                continue
+            waited = now - self._since[job]
+            if job in self._accepted or (waited >= LEFT_OVER and waited >= LEFT_OVER * (1 + self._turn(job, nodes))):
                 held.add(entry)
                 batch.append(Change(job, entry.version, claimed(entry, claimant, term[0].term)))
                 if len(batch) >= most:
                     break
         return batch
 
+    def _turn(self, job: str, nodes: list[str]) -> int:
+        """This node's place among the live ones for a record that nobody else has claimed.
+
+        Each record has an order of its own, so that the work of a node that is gone falls to all.
+        """
+        order = sorted(nodes, key=lambda node: zlib.crc32(f"{job} {node}".encode()))
+        return order.index(self._node) if self._node in order else len(order)
+
     def _next_reclaims(self) -> list[Change]:
         claimant, term = self._session.claimant, self._view.term
         batch: list[Change] = []
--- a/gingerspar/coordination/dispatcher.py
+++ b/gingerspar/coordination/dispatcher.py
@@ -253,7 +253,8 @@
             run.ran_well = True
             self._done(run, placement.number, now)
             return
-        log.info("%s attempt %d on %s ended: %s", placement.name, placement.attempt, machine.name, cause)
+        name = cause.value if cause is not None else "no cause"
+        log.debug("%s attempt %d on %s ended: %s", placement.name, placement.attempt, machine.name, name)
         if cause is Cause.ERROR:
             self._failed(run, machine, now)
         elif cause in (Cause.FULL, Cause.BUSY, Cause.UNKNOWN):
--- a/gingerspar/coordination/ledger.py
+++ b/gingerspar/coordination/ledger.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from enum import Enum
 
-from gingerspar.protocol.messages import Cause, JobSpec, MachineType, TaskStatus
+from gingerspar.protocol.messages import Cause, JobSpec, MachineType, Priority, TaskStatus
 
 TaskId = tuple[str, int]  # job and number
 
@@ -142,6 +142,40 @@
     return max(count, 0)
 
 
+def resource_weight(spec: JobSpec) -> float:
+    """How much of a machine a task takes, in processors; an accelerator counts for ten."""
+    return spec.cpus + 10 * spec.gpus
+
+
+@dataclass(slots=True)
+class Weight:
+    """What tasks of one priority take, and what stopping them would throw away."""
+
+    cpus: float = 0.0
+    gpus: float = 0.0
+    memory_gb: float = 0.0
+    weight: float = 0.0  # of those whose work since their start would be lost
+    since: float = 0.0  # the same, times their start
+    saved: float = 0.0  # of those that save when they are stopped
+
+    def add(self, placement: Placement) -> None:
+        spec = placement.spec
+        self.cpus += spec.cpus
+        self.gpus += spec.gpus
+        self.memory_gb += spec.memory_gb
+        if placement.stop is not None:
+            return
+        weight = resource_weight(spec)
+        if spec.checkpoint_s:
+            self.saved += weight * spec.save_s
+        else:
+            self.weight += weight
+            self.since += weight * (placement.running_since or placement.since).total_seconds()
+
+    def lost(self, now: timedelta) -> float:
+        return self.saved + self.weight * now.total_seconds() - self.since
+
+
 @dataclass(slots=True, frozen=True)
 class Outlook:
     """What a machine's present tasks say of its next minutes; kept until one of them changes."""
@@ -150,7 +184,7 @@
     longest_ahead: timedelta  # of those that don't run yet
     longest: timedelta
     fetching: frozenset[str]  # images that are still under way
-    lowest_rank: int  # of the least urgent one
+    weights: tuple[Weight, ...]  # of the tasks of each priority
 
 
 @dataclass(slots=True, eq=False)
@@ -247,18 +281,18 @@
             last_end: timedelta | None = None
             longest_ahead = longest = NOTHING
             fetching: set[str] = set()
-            lowest = 0
+            weights = tuple(Weight() for _ in Priority)
             for placement in self.live.values():
                 span = run_time(placement.spec)
                 longest = max(longest, span)
-                lowest = max(lowest, placement.spec.priority.rank)
+                weights[placement.spec.priority.rank].add(placement)
                 if placement.running_since is None:
                     longest_ahead = max(longest_ahead, span)
                 elif last_end is None or placement.running_since + span > last_end:
                     last_end = placement.running_since + span
                 if placement.state in _FETCHING and placement.spec.image not in self.images:
                     fetching.add(placement.spec.image)
-            self.outlook = Outlook(last_end, longest_ahead, longest, frozenset(fetching), lowest)
+            self.outlook = Outlook(last_end, longest_ahead, longest, frozenset(fetching), weights)
         return self.outlook
 
     def remember_image(self, image: str, size_gb: float) -> None:
--- a/gingerspar/coordination/placer.py
+++ b/gingerspar/coordination/placer.py
@@ -26,6 +26,11 @@
     return (spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot)
 
 
+def _with_some_room(machines: list[Machine], least: float) -> list[Machine]:
+    """Without those that are full even for the smallest task that waits."""
+    return [machine for machine in machines if machine.free()[0] >= least or machine.booked.cpus > 0]
+
+
 class Placer:
     """Goes through the backlog in order; a pass that grows too long goes on later.
 
@@ -53,7 +58,8 @@
             return True
         self._found = {}
         until = pool.looked_at + MOST_LOOKS
-        gained = self._gained
+        least = min((run.spec.cpus for run in backlog.waiting.values()), default=0.0) - 1e-9
+        gained = _with_some_room(self._gained, least)
         orders = list(backlog.waiting) if gained else list(backlog.unseen)
         for order in orders:
             run = backlog.waiting.get(order)
@@ -63,7 +69,10 @@
             if not unseen and (not gained or (self._walked is not None and order <= self._walked)):
                 continue
             if not book.blocked(run):
+                before = len(run.open)
                 self._serve(run, None if unseen else gained, now)
+                if len(run.open) != before:
+                    gained = _with_some_room(gained, least)
             if pool.looked_at >= until:
                 self._walked = order if gained else None
                 return False
--- a/gingerspar/coordination/pool.py
+++ b/gingerspar/coordination/pool.py
@@ -133,6 +133,16 @@
         self.looked_at += len(found)
         return found
 
+    def ready(self) -> list[tuple[Offer, MachineType, int]]:
+        """How many ready machines there are of each type, zone and kind."""
+        found: list[tuple[Offer, MachineType, int]] = []
+        for offer, buckets in self._room.items():
+            machines = [machine for bucket in buckets.values() for machine in bucket.values()][:1]
+            for machine in machines:
+                assert machine.kind is not None
+                found.append((offer, machine.kind, sum(len(bucket) for bucket in buckets.values())))
+        return found
+
     def takes_tasks(self, machine: Machine) -> bool:
         return machine.name in self._filed
 
--- a/gingerspar/coordination/room.py
+++ b/gingerspar/coordination/room.py
@@ -6,7 +6,8 @@
 
 from gingerspar.coordination import placement as placing
 from gingerspar.coordination.book import NO_GRACE, Book
-from gingerspar.coordination.ledger import Machine, Placement
+from gingerspar.coordination.ledger import Machine, Placement, fits, resource_weight
+from gingerspar.coordination.pool import allows
 from gingerspar.coordination.runs import JobRun
 
 log = logging.getLogger(__name__)
@@ -14,6 +15,7 @@
 PREEMPT_AFTER = timedelta(seconds=1.5)  # a gang waits this long for room to come by itself
 SEEK_AGAIN = timedelta(seconds=1)  # so often one gang's room is worked out
 KEEP_AT_MOST = timedelta(seconds=30)  # room that has not become enough by then is given up
+LOOKED_THROUGH = 2  # times as many places as are needed are worked out in full
 KEEP_PAUSE = timedelta(seconds=15)  # ... for so long, so that others get on
 
 
@@ -57,14 +59,7 @@
                 return  # it had its time: others must not starve for it
             run.booked_since = None
         run.room_sought = now
-        slots: list[Slot] = []
-        for machine in self._book.pool.allowed(spec):
-            ahead = machine.look_ahead()
-            if ahead.lowest_rank > spec.priority.rank and machine.live:
-                slots += self._by_stopping(run, machine, now)
-            else:
-                slots += [Slot(0.0, machine, [])] * min(machine.room_for(spec), spec.tasks)
-        slots.sort(key=lambda slot: slot.rank)
+        slots = self._slots(run, now)
         if spec.one_zone:
             slots = _best_zone(slots)
         if len(slots) >= spec.tasks:
@@ -72,15 +67,55 @@
         elif self._could_fit(run):
             self._take(run, [slot for slot in slots if not slot.victims], now)
 
+    def _slots(self, run: JobRun, now: timedelta) -> list[Slot]:
+        """Places for the gang's tasks, those for which least is lost first.
+
+        Only the machines that promise the least loss for each place are gone through task
+        by task; what clearing a machine would cost is summed up with each change of it.
+        """
+        spec = run.spec
+        slots: list[Slot] = []
+        promising: list[tuple[float, str, Machine]] = []
+        for machine in self._book.pool.allowed(spec):
+            free = machine.room_for(spec)
+            if free:
+                slots += [Slot(0.0, machine, [])] * min(free, spec.tasks)
+            if not machine.live:
+                continue
+            cpus, gpus, memory = machine.free()
+            lost = 0.0
+            for weight in machine.look_ahead().weights[spec.priority.rank + 1 :]:
+                cpus, gpus, memory = cpus + weight.cpus, gpus + weight.gpus, memory + weight.memory_gb
+                lost += weight.lost(now)
+            more = fits(spec, cpus, gpus, memory) - free
+            if more > 0:
+                promising.append((lost / more, machine.name, machine))
+        slots.sort(key=lambda slot: slot.rank)
+        if len(slots) < spec.tasks or spec.one_zone:
+            promising.sort(key=lambda entry: entry[:2])
+            stopping: list[Slot] = []
+            counts: dict[str, int] = {}
+            for _, _, machine in promising:
+                zone = machine.zone if spec.one_zone else ""
+                if counts.get(zone, 0) < LOOKED_THROUGH * spec.tasks:
+                    found = [slot for slot in self._by_stopping(run, machine, now) if slot.victims]
+                    counts[zone] = counts.get(zone, 0) + len(found)
+                    stopping += found
+            stopping.sort(key=lambda slot: slot.rank)
+            slots += stopping
+        return slots
+
     def _take(self, run: JobRun, slots: list[Slot], now: timedelta) -> None:
         room: dict[Machine, int] = {}
         for slot in slots:
             room[slot.machine] = room.get(slot.machine, 0) + 1
         self._book.book(run, room, now)
+        if any(victim.stop is None for slot in slots for victim in slot.victims):
+            stopped = ", ".join(sorted({victim.job for slot in slots for victim in slot.victims}))
+            log.info("making room for %s on %d machines by stopping tasks of %s", run.spec.job, len(room), stopped)
         for slot in slots:
             for victim in slot.victims:
                 if victim.stop is None and victim.live:
-                    log.info("stopping %s on %s to make room for %s", victim.name, slot.machine.name, run.spec.job)
                     grace = victim.spec.save_time if victim.spec.checkpoint_s else NO_GRACE
                     theirs = self._book.runs[victim.job]
                     if theirs.gangs:
@@ -92,10 +127,10 @@
         """Whether the machines there are would hold the gang if they were empty."""
         spec = run.spec
         zones: dict[str, int] = {}
-        for machine in self._book.pool.allowed(spec):
-            if machine.kind is not None:
-                zone = machine.zone if spec.one_zone else ""
-                zones[zone] = zones.get(zone, 0) + placing.slots(machine.kind, spec)
+        for offer, kind, count in self._book.pool.ready():
+            if allows(spec, *offer):
+                zone = offer[1] if spec.one_zone else ""
+                zones[zone] = zones.get(zone, 0) + count * placing.slots(kind, spec)
         return max(zones.values(), default=0) >= spec.tasks
 
     def _by_stopping(self, run: JobRun, machine: Machine, now: timedelta) -> list[Slot]:
@@ -139,4 +174,4 @@
     seconds = (now - (placement.running_since or placement.since)).total_seconds()
     if spec.checkpoint_s:
         seconds = spec.save_s
-    return seconds * (spec.cpus + 10 * spec.gpus)
+    return seconds * resource_weight(spec)
--- a/gingerspar/coordination/runs.py
+++ b/gingerspar/coordination/runs.py
@@ -46,10 +46,10 @@
     booked: dict[Machine, int] = field(default_factory=dict)  # room that is kept for a gang
     booked_since: timedelta | None = None
     room_sought: timedelta | None = None  # when work was last looked at that could make room
+    order: Order = field(init=False)  # stays the same for as long as the job lives
 
-    @property
-    def order(self) -> Order:
-        return self.record.order
+    def __post_init__(self) -> None:
+        self.order = self.record.order
 
     @property
     def live(self) -> list[Placement]:
--- a/gingerspar/coordination/session.py
+++ b/gingerspar/coordination/session.py
@@ -27,6 +27,7 @@
     (SessionState.NONE, SessionState.LEASED),
     (SessionState.LEASED, SessionState.OPEN),
     (SessionState.LEASED, SessionState.NONE),
+    (SessionState.NONE, SessionState.OPEN),  # this node's former process opened it
     (SessionState.OPEN, SessionState.NONE),
 }
 
@@ -43,6 +44,7 @@
         self._ttl = ttl
         self._lease = 0
         self._version = 0
+        self._tried_former = False
         self.state = SessionState.NONE
         self.on_change: list[Callable[[SessionState], None]] = []
         view.on_node.append(self._seen)
@@ -74,24 +76,47 @@
         while True:
             try:
                 if self.state is SessionState.OPEN:
-                    await asyncio.sleep(self._ttl.total_seconds() / 3)
+                    await asyncio.sleep(self._ttl.total_seconds() / 4)
                     await self._client.extend(self._lease)
                 elif self._view.phase is Phase.FOLLOWING:
                     await self._open()
                 else:
                     await asyncio.sleep(0.05)
             except LeaseGone:
+                self._tried_former = True
                 if self.state is not SessionState.NONE:
                     self._move(SessionState.NONE, "lease has ended")
             except (Unavailable, Unknown) as error:
                 log.debug("session: %s", error)
                 await asyncio.sleep(0.3)
 
+    async def _resume(self) -> bool:
+        """Goes on with the session of this node's former process, if its lease has not ended.
+
+        The platform starts a node's process again when the former one has ended, so nobody
+        else speaks in this session; what the former process may still have under way names
+        the version of each record it writes. Without this, the end of all controllers made
+        every claim lapse, and sweeping and claiming some hundred records again took more
+        than a minute of the write budget.
+        """
+        former, version = self._view.node_records.get(self._node), self._view.nodes.get(self._node)
+        if self._tried_former or former is None or version is None or not former.lease:
+            return False
+        await self._client.extend(former.lease)
+        self._tried_former = True
+        if self._view.nodes.get(self._node) != version:
+            return False
+        self._lease, self._version = former.lease, version
+        self._move(SessionState.OPEN, f"version {version}, as the former process left it")
+        return True
+
     async def _open(self) -> None:
+        if self.state is SessionState.NONE and await self._resume():
+            return
         if self.state is SessionState.NONE:
             self._lease = await self._client.grant(self._ttl)
             self._move(SessionState.LEASED, f"lease {self._lease}")
-        value = records.pack(NodeRecord(started=self._clock.today().timestamp()))
+        value = records.pack(NodeRecord(started=self._clock.today().timestamp(), lease=self._lease))
         transaction = Transaction(
             # Conditional, so that a delayed put of an earlier session can't end this one unseen.
             [KeyVersion(self._key, self._view.nodes.get(self._node, 0))],
@@ -107,6 +132,7 @@
             self._move(SessionState.NONE, "no answer")
             raise
         self._version = version
+        self._tried_former = True
         self._view.apply(self._key, bytes(value), version)
         if self.state is SessionState.LEASED:
             self._move(SessionState.OPEN, f"version {version}")
--- a/gingerspar/coordination/term.py
+++ b/gingerspar/coordination/term.py
@@ -48,6 +48,7 @@
     dispatching: bool
     state_age: timedelta
     workers: int
+    writes: float = 0.0
 
 
 @dataclass(slots=True)
--- a/gingerspar/protocol/messages.py
+++ b/gingerspar/protocol/messages.py
@@ -31,13 +31,11 @@
     NORMAL = "standard"
     LOW = "idle"
 
-    @property
-    def rank(self) -> int:
-        """0 is served first."""
-        return _RANKS[self]
+    rank: int  # 0 is served first
 
 
-_RANKS = {Priority.PRODUCTION: 0, Priority.HIGH: 1, Priority.NORMAL: 2, Priority.LOW: 3}
+for _rank, _priority in enumerate(Priority):
+    _priority.rank = _rank
 
 
 class JobStatus(Enum):
--- a/gingerspar/protocol/settings.py
+++ b/gingerspar/protocol/settings.py
@@ -122,7 +122,7 @@
     Durations are in seconds. ``docs/operations.md`` explains each field.
     """
 
-    session_ttl_s: float = 6.0
+    session_ttl_s: float = 12.0
     claim_batch: int = 8
     sweep_batch: int = 8
     idle_return_s: float = 120.0
--- a/gingerspar/storage/budgets.py
+++ b/gingerspar/storage/budgets.py
@@ -8,6 +8,8 @@
 
 from gingerspar.transport.clock import Clock
 
+DEMAND_SPAN = timedelta(seconds=0.5)
+
 
 class Urgency(IntEnum):
     """Who goes first when the budget is short."""
@@ -30,11 +32,30 @@
         self._at = clock.now()
         self._order = 0
         self._waiting: SortedList[tuple[int, int]] = SortedList()
+        self._lacking = 0.0  # units that are waited for
+        self._taken = 0.0
+        self._measured = clock.now()
+        self._demand = 0.0
 
     @property
     def burst(self) -> float:
         return self._burst
 
+    def set_rate(self, rate: float, burst: float) -> None:
+        """What is saved up stays, as far as the new burst allows."""
+        self._refill()
+        self._rate, self._burst = rate, burst
+        self._level = min(self._level, burst)
+
+    def demand(self) -> float:
+        """Units a second that were asked for lately, with what still waits; for sharing a common limit."""
+        now = self._clock.now()
+        span = (now - self._measured).total_seconds()
+        if span >= DEMAND_SPAN.total_seconds():
+            self._demand = 0.5 * self._demand + 0.5 * self._taken / span
+            self._taken, self._measured = 0.0, now
+        return self._demand + self._lacking
+
     def _refill(self) -> None:
         now = self._clock.now()
         self._level = min(self._burst, self._level + (now - self._at).total_seconds() * self._rate)
@@ -46,16 +67,19 @@
         self._order += 1
         ticket = (int(urgency), self._order)
         self._waiting.add(ticket)
+        self._lacking += units
         try:
             while True:
                 self._refill()
                 if self._waiting[0] == ticket and self._level >= units:
                     self._level -= units
+                    self._taken += units
                     return
                 lacking = max(units - self._level, 0.02 * self._rate)
                 await asyncio.sleep(min(lacking / self._rate, 0.25))
         finally:
             self._waiting.remove(ticket)
+            self._lacking -= units
 
     def drain(self, pause: timedelta) -> None:
         """The other side says that too much came: nothing for a while."""
--- a/gingerspar/storage/client.py
+++ b/gingerspar/storage/client.py
@@ -40,6 +40,8 @@
     # A 429 was not executed and is simply asked again, so shares may overlap a little:
     # nodes are seldom busy all at once.
     WRITE_OVERLAP = 1.4
+    WRITE_LIMIT = 0.95  # of the limit, when shares follow demand
+    LEAST_SHARE = 0.4  # of an even share; what a node gets that asks for nothing
     REQUEST_SHARE = 0.45  # of the node's part; the rest is for the view's reads
 
     def __init__(
@@ -52,10 +54,33 @@
         self._writes = Budget(clock, write_rate, max(1.0, write_rate))
         request_rate = max(1.0, rps * part * self.REQUEST_SHARE)
         self._requests = Budget(clock, request_rate, request_rate)
-        self.most_puts = max(1, min(txn_ops, int(self._writes.burst)))
+        self._write_rps = write_rps
+        self._even = write_rps * part
+        self._txn_ops = txn_ops
         self.most_conditions = 4 * txn_ops
         self.value_bytes = value_bytes
 
+    @property
+    def most_puts(self) -> int:
+        """Changes in one transaction: what the service allows, and what this node may write at once."""
+        return max(1, min(self._txn_ops, int(self._writes.burst)))
+
+    @property
+    def write_demand(self) -> float:
+        return self._writes.demand()
+
+    def share_writes(self, others: list[float]) -> None:
+        """Splits the common write limit by what this node and its peers ask for.
+
+        An even split left most of it unused where it was needed most: sweeps, claims and
+        the roster are the work of few nodes.
+        """
+        least = self._even * self.LEAST_SHARE
+        mine = max(self.write_demand, least)
+        total = mine + sum(max(other, least) for other in others)
+        rate = max(self._write_rps * self.WRITE_LIMIT * mine / total, least)
+        self._writes.set_rate(rate, max(1.0, rate))
+
     async def _call(
         self, method: str, path: str, body: bytes | None = None, timeout: timedelta = timedelta(seconds=2)
     ) -> tuple[int, bytes]:
--- a/gingerspar/storage/records.py
+++ b/gingerspar/storage/records.py
@@ -145,6 +145,7 @@
     """The session key's value."""
 
     started: float
+    lease: int = 0  # so that the node's next process can go on with the session
 
 
 class TermRecord(msgspec.Struct, frozen=True):
--- a/gingerspar/storage/view.py
+++ b/gingerspar/storage/view.py
@@ -65,6 +65,7 @@
         self.jobs: dict[str, Versioned] = {}  # unfinished ones
         self.final: dict[str, FinalRecord] = {}
         self.nodes: dict[str, int] = {}  # node -> version of its session key
+        self.node_records: dict[str, NodeRecord] = {}
         self.roster: dict[str, tuple[RosterRecord, int]] = {}  # by key: a group of machines each
         self.term: tuple[TermRecord, int] | None = None
         self._gone: dict[str, int] = {}  # tombstones of our own deletions until the watch passes them
@@ -232,8 +233,9 @@
             return
         if value is None:
             self.nodes.pop(node, None)
+            self.node_records.pop(node, None)
         else:
-            msgspec.json.decode(value, type=NodeRecord)
+            self.node_records[node] = msgspec.json.decode(value, type=NodeRecord)
             self.nodes[node] = version
         for listener in self.on_node:
             listener(node)
