--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -47,6 +47,8 @@
 RELAY_AFTER = timedelta(seconds=0.8)  # without a read for so long, a peer may serve users better
 RELAY_WAIT = timedelta(seconds=1.7)  # pollers wait 2 s
 LINK_SILENT = timedelta(seconds=1.5)
+REDIAL_AFTER = timedelta(seconds=2)
+MOST_DESERTERS = 4  # so many workers are enough to show that the holder doesn't answer
 
 
 class Controller:
@@ -82,7 +84,7 @@
         self._term_state = TermState.FOLLOWING
         self._types: list[MachineType] = []
         self._news: dict[str, PeerNews] = {}
-        self._visits: deque[tuple[timedelta, str]] = deque()
+        self._visits: deque[tuple[timedelta, str, int]] = deque()  # when, machine, token it has seen
         self._counts: dict[str, int] = {}
         self._started = self._clock.now()
         self._term_seen = self._started
@@ -207,16 +209,28 @@
         except Malformed as error:
             return problem(400, str(error))
         now = self._clock.now()
-        self._visits.append((now, report.machine))
+        self._visits.append((now, report.machine, report.token))
         if self._post is not None and self._authority():
             return await self._post.report(report)
         if self._post is not None:
             return problem(503, "not entitled")
         holder = self._known_holder()
-        if holder is None or holder == self._node or not self._peer_heard(holder):
+        if holder is None or holder == self._node or not self._seems_alive(holder):
             return Answer(421, messages.encode(Steer()))
         return Answer(421, messages.encode(Steer(holder)))
 
+    def _seems_alive(self, holder: str) -> bool:
+        """Heard, or, while connections between controllers are refused, in session."""
+        if self._peer_heard(holder):
+            return True
+        term = self._view.term
+        return (
+            term is not None
+            and term[0].holder == holder
+            and self._view.nodes.get(holder) == term[0].session
+            and self._deserters(term[0].term) == 0
+        )
+
     def _known_holder(self) -> str | None:
         """The newest holder that the view or a peer tells of."""
         term = self._view.term
@@ -263,7 +277,11 @@
         now = self._clock.now()
         while self._visits and now - self._visits[0][0] > RECENT:
             self._visits.popleft()
-        return len({machine for _, machine in self._visits})
+        return len({machine for _, machine, _ in self._visits})
+
+    def _deserters(self, term: int) -> int:
+        """Workers that have come here although the holder of this term had them."""
+        return len({machine for _, machine, token in self._visits if token >= term})
 
     def _term_resigned(self, record: TermRecord | None) -> bool:
         return record is not None and record.holder == self._node and record.term == self._own_term
@@ -293,6 +311,8 @@
             resigned=self._term_resigned(record),
             resigned_since=self._resigned_since,
             workers=self._recent_workers(),
+            deserters=self._deserters(record.term if record is not None else 0),
+            deserters_needed=max(1, min(MOST_DESERTERS, sum(len(g.names) for g, _ in self._view.roster.values()) // 8)),
             term_seen=self._term_seen,
             started=self._started,
             live_nodes=list(self._view.nodes),
@@ -387,9 +407,19 @@
         holder = term[0].holder
         return holder != self._node and self._link.up(holder) and self._peer_heard(holder)
 
+    def _mend_links(self) -> None:
+        """A connection may be lost without an error: then one side or the other hears nothing."""
+        for peer in self._link.peers:
+            news = self._news.get(peer)
+            works = self._peer_heard(peer) and news is not None and self._node in news.hears
+            if not works and self._link.age(peer) > REDIAL_AFTER:
+                log.debug("peer link to %s is dialled again", peer)
+                self._link.redial(peer)
+
     async def _beat(self) -> None:
         counted = self._clock.now()
         while True:
+            self._mend_links()
             self._link.broadcast(
                 peers.pack(
                     peers.Heartbeat(
@@ -398,6 +428,7 @@
                         self._dispatching(),
                         min(self._view.age().total_seconds(), 1e6),
                         self._recent_workers(),
+                        [node for node in self._news if self._peer_heard(node)],
                         self._client.write_demand,
                     )
                 )
@@ -435,6 +466,7 @@
                     message.state_age,
                     message.workers,
                     message.writes,
+                    tuple(message.heard),
                 )
             case peers.Counts():
                 if self._view.term is not None and message.term == self._view.term[0].term:
--- a/gingerspar/coordination/term.py
+++ b/gingerspar/coordination/term.py
@@ -49,6 +49,7 @@
     state_age: timedelta
     workers: int
     writes: float = 0.0
+    hears: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -64,6 +65,8 @@
     holder_session_alive: bool
     holder_is_this_process: bool
     workers: int  # reports that reached this node within the last seconds
+    deserters: int  # of these, workers that the current holder had: they have seen its token
+    deserters_needed: int
     term_seen: timedelta  # when this node first saw the current term
     started: timedelta
     live_nodes: list[str] = field(default_factory=list)  # with an open session
@@ -101,9 +104,10 @@
     if k.now - k.term_seen < SETTLING_IN:
         return None
     if silent:
-        # A cut between controllers alone must not make the term go to and fro:
-        # workers that come here show that the holder doesn't answer them.
-        if k.workers > 0 and not k.link_up:
+        # Connections between controllers alone may be refused, and the term must not go to and
+        # fro for that: only workers that the holder had show that it doesn't answer any more.
+        # New machines' first reports come here in any case.
+        if k.deserters >= k.deserters_needed and not k.link_up:
             return _in_turn(k, "the holder is silent and workers come here", k.now - silence + SILENT)
         return None
     if news is None:
--- a/gingerspar/protocol/peers.py
+++ b/gingerspar/protocol/peers.py
@@ -13,6 +13,7 @@
     dispatching: bool
     state_age_s: float  # since the sending of its last successful read of the state service
     workers: int  # reports that reached it within the last few seconds
+    heard: list[str] = []  # nodes that it has heard lately
     writes: float = 0.0  # changes a second that it would like to write to the state service
 
     @property
--- a/gingerspar/transport/peerlink.py
+++ b/gingerspar/transport/peerlink.py
@@ -15,6 +15,7 @@
 from tornado import iostream, tcpserver
 
 from gingerspar.transport import netstrings
+from gingerspar.transport.clock import Clock
 
 log = logging.getLogger(__name__)
 
@@ -60,12 +61,19 @@
         host, port = address.rsplit(":", 1)
         self._target = (host, int(port))
         self._stream: iostream.IOStream | None = None
+        self._clock = Clock()
+        self._since = self._clock.now()
         self._unsent = 0
 
     @property
     def up(self) -> bool:
         return self._stream is not None and not self._stream.closed()
 
+    @property
+    def age(self) -> timedelta:
+        """How long the connection has been up."""
+        return self._clock.now() - self._since if self.up else timedelta(0)
+
     def close(self) -> None:
         if self._stream is not None:
             self._stream.close()
@@ -76,7 +84,7 @@
             try:
                 stream.set_nodelay(True)
                 await asyncio.wait_for(stream.connect(self._target), CONNECT_TIMEOUT.total_seconds())
-                self._stream, self._unsent = stream, 0
+                self._stream, self._unsent, self._since = stream, 0, self._clock.now()
                 await stream.read_until_close()  # nothing is said back: this ends when the peer does
             except (TimeoutError, iostream.StreamClosedError, OSError):
                 pass
@@ -121,9 +129,20 @@
         self._listener.listen(port, address)
         return [asyncio.ensure_future(out.keep()) for out in self._outgoing.values()]
 
+    @property
+    def peers(self) -> list[str]:
+        return list(self._outgoing)
+
     def up(self, peer: str) -> bool:
         return self._outgoing[peer].up
 
+    def age(self, peer: str) -> timedelta:
+        return self._outgoing[peer].age
+
+    def redial(self, peer: str) -> None:
+        """Gives the connection up for a new one: a filter may have dropped it without a word."""
+        self._outgoing[peer].close()
+
     def send(self, peer: str, message: bytes) -> bool:
         return self._outgoing[peer].send(netstrings.pack(message))
 
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -33,6 +33,8 @@
         "holder_session_alive": True,
         "holder_is_this_process": False,
         "workers": 0,
+        "deserters": 0,
+        "deserters_needed": 3,
         "term_seen": s(10),
         "started": s(0),
         "live_nodes": ["n1", "n2", "n3"],
@@ -58,9 +60,19 @@
         False,
     ),
     "the holder is silent and its workers come here": (
-        {"peers": {"n1": news(age=5)}, "link_up": False, "workers": 3},
+        {"peers": {"n1": news(age=5)}, "link_up": False, "workers": 3, "deserters": 3},
         True,
     ),
+    # kerlann-fonts-grown apart: connections between controllers were refused, and each first report
+    # of a new machine made another node take the term, every four seconds.
+    "the holder is silent and only new machines come here": (
+        {"peers": {"n1": news(age=5)}, "link_up": False, "workers": 3, "deserters": 0},
+        False,
+    ),
+    "the holder is silent and one of its workers has come here": (
+        {"peers": {"n1": news(age=5)}, "link_up": False, "workers": 3, "deserters": 1},
+        False,
+    ),
     "the holder has lost the state service, this node has not": ({"peers": {"n1": news(state_age=6)}}, True),
     "nobody has the state service": ({"peers": {"n1": news(state_age=6)}, "state_age": s(6)}, False),
     # A spurious change of term on a quiet day: one new worker came here first.
