--- a/gingerspar/coordination/claims.py
+++ b/gingerspar/coordination/claims.py
@@ -27,7 +27,9 @@
 
 log = logging.getLogger(__name__)
 
-LEFT_OVER = timedelta(seconds=1)  # a pending record this old is claimed by whoever's turn it is
+LEFT_OVER = timedelta(seconds=1)  # a record claimable for so long is claimed by whoever's turn it is
+NOTHING = timedelta(0)
+NEXT_TURN = timedelta(seconds=3)  # ... and by the next one after so long
 UNREACHABLE = timedelta(seconds=4)  # a claimant cut off from the dispatcher releases its claims
 
 
@@ -237,9 +239,10 @@
         for job in self._pending.values():
             entry = self._view.jobs[job]
             if held.over_limit(self._teams, entry):
+                self._since[job] = now  # else all nodes would claim it at once when the team has room
                 continue
-            waited = now - self._since[job]
-            if job in self._accepted or (waited >= LEFT_OVER and waited >= LEFT_OVER * (1 + self._turn(job, nodes))):
+            waited = now - self._since[job] - LEFT_OVER
+            if job in self._accepted or (waited >= NOTHING and waited >= NEXT_TURN * self._turn(job, nodes)):
                 held.add(entry)
                 batch.append(Change(job, entry.version, claimed(entry, claimant, term[0].term)))
                 if len(batch) >= most:
--- a/gingerspar/storage/budgets.py
+++ b/gingerspar/storage/budgets.py
@@ -63,7 +63,6 @@
 
     async def take(self, units: float, urgency: Urgency) -> None:
         """Returns once ``units`` are there and nobody more urgent waits."""
-        units = min(units, self._burst)
         self._order += 1
         ticket = (int(urgency), self._order)
         self._waiting.add(ticket)
@@ -71,11 +70,13 @@
         try:
             while True:
                 self._refill()
-                if self._waiting[0] == ticket and self._level >= units:
+                # The burst may have become smaller meanwhile: what it can't hold goes into debt.
+                enough = min(units, self._burst)
+                if self._waiting[0] == ticket and self._level >= enough:
                     self._level -= units
                     self._taken += units
                     return
-                lacking = max(units - self._level, 0.02 * self._rate)
+                lacking = max(enough - self._level, 0.02 * self._rate)
                 await asyncio.sleep(min(lacking / self._rate, 0.25))
         finally:
             self._waiting.remove(ticket)
--- /dev/null
+++ b/tests/test_budgets.py
@@ -0,0 +1,55 @@
+"""The write budget: by urgency, within the rate, and shared by demand."""
+
+import asyncio
+
+from gingerspar.storage.budgets import Budget, Urgency
+from gingerspar.storage.client import StateClient
+from gingerspar.transport.clock import Clock
+
+
+def _client(clock: Clock) -> StateClient:
+    return StateClient("127.0.0.1:1", clock, rps=100, write_rps=25, txn_ops=16, value_bytes=8192, nodes=5)
+
+
+async def _taken_after_the_burst_shrank() -> bool:
+    clock = Clock()
+    budget = Budget(clock, 100, 16)
+    await budget.take(16, Urgency.CLAIM)
+    waiting = asyncio.ensure_future(budget.take(16, Urgency.CLAIM))
+    await asyncio.sleep(0)
+    budget.set_rate(50, 4)
+    await asyncio.wait_for(waiting, 2)
+    return waiting.done()
+
+
+def test_a_smaller_burst_does_not_block_what_waits_already() -> None:
+    """kerlann-fonts-grown steady: a roster write waited for ever, and nothing ran."""
+    assert asyncio.run(_taken_after_the_burst_shrank())
+
+
+async def _urgent_first() -> list[str]:
+    order: list[str] = []
+    budget = Budget(Clock(), 200, 4)
+
+    async def take(name: str, urgency: Urgency) -> None:
+        await budget.take(4, urgency)
+        order.append(name)
+
+    await budget.take(4, Urgency.RESULT)
+    await asyncio.gather(
+        take("sweep", Urgency.BACKGROUND), take("result", Urgency.RESULT), take("cancel", Urgency.USER)
+    )
+    return order
+
+
+def test_the_most_urgent_goes_first() -> None:
+    assert asyncio.run(_urgent_first()) == ["cancel", "result", "sweep"]
+
+
+def test_the_write_limit_is_split_by_demand() -> None:
+    busy, idle = _client(Clock()), _client(Clock())
+    idle.share_writes([20.0, 0.0, 0.0, 0.0])
+    assert idle.most_puts <= 3
+    busy._writes._demand = 20.0
+    busy.share_writes([0.0, 0.0, 0.0, 0.0])
+    assert busy.most_puts >= 12
