--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -368,7 +368,15 @@
             self._move_term(TermState.FOLLOWING)
             return
         roster = self._view.rostered()
-        dispatcher = Dispatcher(number, raised, self._facts.workers, self._facts.teams, roster=roster)
+        dispatcher = Dispatcher(
+            number,
+            raised,
+            self._facts.workers,
+            self._facts.teams,
+            objectives=self._facts.objectives,
+            today=self._clock.today,
+            roster=roster,
+        )
         self._post = CommandPost(
             self._node,
             dispatcher,
--- a/gingerspar/coordination/book.py
+++ b/gingerspar/coordination/book.py
@@ -8,23 +8,43 @@
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
-from gingerspar.coordination.ledger import Machine, MachineState, Placement, TaskState, Usage
+from gingerspar.coordination.ledger import (
+    NOTHING,
+    Machine,
+    MachineState,
+    Placement,
+    TaskState,
+    Usage,
+    run_time,
+    slot_cost,
+)
 from gingerspar.coordination.pool import Pool, allows
 from gingerspar.coordination.runs import Backlog, GangState, JobRun
-from gingerspar.protocol.messages import JobSpec, MachineType
-from gingerspar.protocol.settings import TeamFacts
+from gingerspar.protocol.messages import JobSpec, MachineType, Priority
+from gingerspar.protocol.settings import Objective, TeamFacts
 
 log = logging.getLogger(__name__)
 
 NO_GRACE = timedelta(0)
+URGENT_WAIT = timedelta(seconds=5)
+ROUTINE_WAIT = timedelta(seconds=20)  # of work that nobody asks anything of
+OVERRUN = 1.3  # estimates are often wrong by half
+START_UP = timedelta(seconds=5)  # claim, reports and what else comes before a task runs
+DEAR = 1.5
 _COUNTED = (TaskState.RUNNING, TaskState.SAVING)  # shown to users as running
 
 
 class Book:
     """One term's machines, runs and use."""
 
-    def __init__(self, term: int, teams: Iterable[TeamFacts]) -> None:
+    def __init__(self, term: int, teams: Iterable[TeamFacts], objectives: Iterable[Objective] = ()) -> None:
         self.term = term
+        self._finish_within: dict[str, timedelta] = {}
+        for objective in objectives:
+            if objective.kind == "finished" and objective.jobclass and objective.within_s:
+                within = timedelta(seconds=objective.within_s)
+                known = self._finish_within.get(objective.jobclass, within)
+                self._finish_within[objective.jobclass] = min(known, within)
         self.teams = {team.name: team for team in teams}
         self.types: dict[str, MachineType] = {}
         self.pool = Pool()
@@ -34,6 +54,7 @@
         self.unsaved: dict[str, JobRun] = {}  # runs with finishes that the record doesn't show yet
         self.accelerated: dict[str, JobSpec] = {}  # by class: what uses accelerators here
         self.wake: Callable[[Machine], None] = lambda machine: None
+        self._cheapest: dict[tuple[object, ...], float] = {}  # ordinary place, by kind of task
 
     # -- machines -------------------------------------------------------------
 
@@ -55,6 +76,7 @@
 
     def set_types(self, types: Iterable[MachineType]) -> None:
         self.types = {kind.name: kind for kind in types}
+        self._cheapest = {}
         for machine in self.pool:
             machine.set_kind(self.types.get(machine.type))
 
@@ -176,6 +198,39 @@
             self.unsaved[run.spec.job] = run
         return news
 
+    # -- time to spare --------------------------------------------------------
+
+    def can_wait(self, run: JobRun, now: timedelta) -> bool:
+        """Whether the job will probably be in time even if it starts somewhat later.
+
+        By its own deadline, or by what the operators ask of its class. Work without either
+        waits a little; urgent work only until what is less urgent could have made room.
+        """
+        spec = run.spec
+        waited = now - run.waiting_since if run.waiting_since is not None else NOTHING
+        if spec.priority.rank <= Priority.HIGH.rank:
+            return waited < URGENT_WAIT
+        within = timedelta(seconds=spec.due_s) if spec.due_s is not None else self._finish_within.get(spec.jobclass)
+        if within is None:
+            return waited < ROUTINE_WAIT
+        slowest = min((kind.fetch_gb_per_s for kind in self.types.values()), default=1.0)
+        takes = run_time(spec) * OVERRUN + timedelta(seconds=spec.image_gb / max(slowest, 1e-3)) + START_UP
+        return now + takes < run.submitted + within
+
+    def dear(self, kind: MachineType, spot: bool, spec: JobSpec) -> bool:
+        """An ordinary machine whose places cost far more than those of another ordinary type."""
+        if spot:
+            return False
+        key = (spec.cpus, spec.gpus, spec.memory_gb, spec.types)
+        if key not in self._cheapest:
+            costs = [
+                slot_cost(other, False, spec)
+                for other in self.types.values()
+                if spec.types is None or other.name in spec.types
+            ]
+            self._cheapest[key] = min(costs, default=0.0)
+        return slot_cost(kind, False, spec) > DEAR * self._cheapest[key]
+
     # -- room -----------------------------------------------------------------
 
     def book(self, run: JobRun, room: dict[Machine, int], now: timedelta) -> None:
--- a/gingerspar/coordination/dispatcher.py
+++ b/gingerspar/coordination/dispatcher.py
@@ -7,7 +7,7 @@
 import logging
 from collections import Counter
 from collections.abc import Callable, Iterable
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 from gingerspar.coordination.book import NO_GRACE, Book
 from gingerspar.coordination.ledger import REPORTED, Machine, MachineState, Placement, TaskState
@@ -26,7 +26,7 @@
     TaskStatus,
     Verb,
 )
-from gingerspar.protocol.settings import TeamFacts, WorkerFacts
+from gingerspar.protocol.settings import Objective, TeamFacts, WorkerFacts
 from gingerspar.storage.records import JobRecord, TaskSet
 
 log = logging.getLogger(__name__)
@@ -55,11 +55,14 @@
         workers: WorkerFacts,
         teams: Iterable[TeamFacts],
         *,
+        objectives: Iterable[Objective] = (),
+        today: Callable[[], datetime] | None = None,
         roster: Iterable[tuple[str, str, str, bool]] = (),
     ) -> None:
         self.term = term
         self.raised = raised
-        self.book = Book(term, teams)
+        self.book = Book(term, teams, objectives)
+        self._today = today
         self.pool = self.book.pool
         self.runs = self.book.runs
         self.backlog = self.book.backlog
@@ -104,7 +107,7 @@
                 self.book.end(run, now)
             return
         if run is None or run.over:
-            found = self._begin(record, finished)
+            found = self._begin(record, finished, now)
             if run is not None:
                 found.places, found.running, found.used_attempt = run.places, run.running, run.used_attempt
                 found.open -= set(run.places)
@@ -122,8 +125,11 @@
             self.book.unsaved.pop(job, None)
         self.backlog.refile(run, now, fresh=True)
 
-    def _begin(self, record: JobRecord, finished: TaskSet) -> JobRun:
-        run = JobRun(record.spec, record, finished.copy(), finished.copy())
+    def _begin(self, record: JobRecord, finished: TaskSet, now: timedelta) -> JobRun:
+        run = JobRun(record.spec, record, finished.copy(), finished.copy(), submitted=now)
+        if self._today is not None:
+            age = self._today().timestamp() - record.submitted
+            run.submitted = now - timedelta(seconds=max(age, 0.0))
         run.open.update(finished.missing())
         if run.spec.gpus:
             self.book.accelerated[run.spec.jobclass] = run.spec
--- a/gingerspar/coordination/fleet.py
+++ b/gingerspar/coordination/fleet.py
@@ -115,6 +115,8 @@
         for offer in choices:
             if left > 0 and offer in bins:
                 left -= bins[offer].put(spec, left)
+        if left > 0 and book.can_wait(run, now):
+            choices = [offer for offer in choices if not book.dear(types[offer[0]], offer[2], spec)]
         while left > 0:
             best = _cheapest(run, left, choices, types, refusals, rent, now)
             if best is None:
@@ -204,15 +206,18 @@
         if now - machine.idle_since < longest[offer]:
             continue
         if offer not in needed:
-            needed[offer] = machine.kind is not None and _needed(book, offer, machine.kind)
+            needed[offer] = machine.kind is not None and _needed(book, offer, machine.kind, now)
         if not needed[offer]:
             found.append(machine)
     return found
 
 
-def _needed(book: Book, offer: Offer, kind: MachineType) -> bool:
+def _needed(book: Book, offer: Offer, kind: MachineType, now: timedelta) -> bool:
     """Whether something that waits could use an empty machine of this offer."""
     return any(
-        allows(run.spec, *offer) and placing.slots(kind, run.spec) > 0 and book.team_room(run.spec) > 0
+        allows(run.spec, *offer)
+        and placing.slots(kind, run.spec) > 0
+        and book.team_room(run.spec) > 0
+        and not (book.dear(kind, offer[2], run.spec) and book.can_wait(run, now))
         for run in book.backlog
     )
--- a/gingerspar/coordination/ledger.py
+++ b/gingerspar/coordination/ledger.py
@@ -1,5 +1,6 @@
 """The dispatcher's ledger: every machine and every task that is or may be on it."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -142,6 +143,17 @@
     return max(count, 0)
 
 
+def slots(kind: MachineType, spec: JobSpec) -> int:
+    """Tasks of this kind that an empty machine takes."""
+    return fits(spec, kind.cpus, kind.gpus, kind.memory_gb)
+
+
+def slot_cost(kind: MachineType, spot: bool, spec: JobSpec) -> float:
+    """What a place for one task costs an hour on a machine that is full of them."""
+    count = slots(kind, spec)
+    return kind.cost(spot) / count if count else math.inf
+
+
 def resource_weight(spec: JobSpec) -> float:
     """How much of a machine a task takes, in processors; an accelerator counts for ten."""
     return spec.cpus + 10 * spec.gpus
--- a/gingerspar/coordination/placement.py
+++ b/gingerspar/coordination/placement.py
@@ -5,22 +5,11 @@
 from collections.abc import Iterable, Mapping, Sequence
 from datetime import timedelta
 
-from gingerspar.coordination.ledger import Machine, Placement, fits, run_time
+from gingerspar.coordination.ledger import Machine, Placement, run_time, slot_cost, slots
 from gingerspar.coordination.pool import Offer, allows
 from gingerspar.protocol.messages import JobSpec, MachineType, Priority
 
 
-def slots(kind: MachineType, spec: JobSpec) -> int:
-    """Tasks of this kind that an empty machine takes."""
-    return fits(spec, kind.cpus, kind.gpus, kind.memory_gb)
-
-
-def slot_cost(kind: MachineType, spot: bool, spec: JobSpec) -> float:
-    """What a place for one task costs an hour on a machine that is full of them."""
-    count = slots(kind, spec)
-    return kind.cost(spot) / count if count else math.inf
-
-
 def emptiness(machine: Machine, spec: JobSpec) -> float:
     """How much of the machine is left once the task is there: the fullest machine has the least.
 
--- a/gingerspar/coordination/placer.py
+++ b/gingerspar/coordination/placer.py
@@ -6,7 +6,7 @@
 
 from gingerspar.coordination import placement as placing
 from gingerspar.coordination.book import Book
-from gingerspar.coordination.ledger import Machine
+from gingerspar.coordination.ledger import Machine, run_time
 from gingerspar.coordination.pool import allows
 from gingerspar.coordination.room import RoomMaker
 from gingerspar.coordination.runs import GangState, JobRun
@@ -163,6 +163,8 @@
         careful = not spec.gpus and spec.priority.rank > Priority.HIGH.rank and bool(book.accelerated)
         if careful:
             machines = self._beside_accelerated(spec, machines)
+        if spec.priority.rank > Priority.HIGH.rank and book.can_wait(run, now):
+            machines = [machine for machine in machines if not self._prolongs_dear(spec, machine, now)]
         zones = placing.zone_room(spec, run.live) if spec.one_zone or spec.spread else None
         if len(run.open) < sum(machine.room_for(spec) for machine in machines):
             machines = placing.ranked(machines, placing.Scorer(spec, book.types, now))
@@ -185,6 +187,13 @@
                 break
         book.backlog.refile(run, now)
 
+    def _prolongs_dear(self, spec: JobSpec, machine: Machine, now: timedelta) -> bool:
+        """Whether a dear machine would have to stay longer for the task."""
+        kind = machine.kind
+        if kind is None or not self._book.dear(kind, machine.spot, spec):
+            return False
+        return now + run_time(spec) > placing.busy_until(machine, now)
+
     def _beside_accelerated(self, spec: JobSpec, machines: list[Machine]) -> list[Machine]:
         """Keeps routine work from taking the processors that free accelerators need.
 
--- a/gingerspar/coordination/runs.py
+++ b/gingerspar/coordination/runs.py
@@ -7,7 +7,7 @@
 
 from sortedcontainers import SortedDict, SortedSet
 
-from gingerspar.coordination.ledger import Machine, Placement
+from gingerspar.coordination.ledger import NOTHING, Machine, Placement
 from gingerspar.protocol.messages import JobSpec, JobStatus, Priority, Shape
 from gingerspar.storage.records import JobRecord, Order, TaskSet
 
@@ -41,6 +41,7 @@
     over: bool = False
     told: timedelta | None = None  # when the claimant was last told of `unsaved`
     reclaim_asked: timedelta | None = None
+    submitted: timedelta = NOTHING  # on this node's steady clock
     waiting_since: timedelta | None = None
     seen_open: int = 0  # open tasks when a pass last compared it with all machines
     booked: dict[Machine, int] = field(default_factory=dict)  # room that is kept for a gang
