--- a/gingerspar/coordination/book.py
+++ b/gingerspar/coordination/book.py
@@ -39,12 +39,16 @@
 
     def __init__(self, term: int, teams: Iterable[TeamFacts], objectives: Iterable[Objective] = ()) -> None:
         self.term = term
-        self._finish_within: dict[str, timedelta] = {}
+        self._finish_within: dict[str, tuple[timedelta, timedelta]] = {}  # by class: first and last aim
+        self._late_at: dict[str, float] = {}  # by class: times its deadline
         for objective in objectives:
             if objective.kind == "finished" and objective.jobclass and objective.within_s:
                 within = timedelta(seconds=objective.within_s)
-                known = self._finish_within.get(objective.jobclass, within)
-                self._finish_within[objective.jobclass] = min(known, within)
+                first, last = self._finish_within.get(objective.jobclass, (within, within))
+                self._finish_within[objective.jobclass] = (min(first, within), max(last, within))
+            elif objective.kind == "deadline" and objective.jobclass and objective.times:
+                times = max(objective.times, self._late_at.get(objective.jobclass, 1.0))
+                self._late_at[objective.jobclass] = times
         self.teams = {team.name: team for team in teams}
         self.types: dict[str, MachineType] = {}
         self.pool = Pool()
@@ -200,22 +204,33 @@
 
     # -- time to spare --------------------------------------------------------
 
-    def can_wait(self, run: JobRun, now: timedelta) -> bool:
-        """Whether the job will probably be in time even if it starts somewhat later.
+    def can_wait(self, run: JobRun, now: timedelta, boot: timedelta = NOTHING) -> bool:
+        """Whether dearer places, to be had after ``boot``, would do nothing for the job.
 
-        By its own deadline, or by what the operators ask of its class. Work without either
-        waits a little; urgent work only until what is less urgent could have made room.
+        It will probably be in time even if it starts somewhat later, or it is too late in
+        any case; by its own deadline, or by what the operators ask of its class. Work
+        without either waits a little; urgent work only until what is less urgent could
+        have made room.
         """
         spec = run.spec
         waited = now - run.waiting_since if run.waiting_since is not None else NOTHING
         if spec.priority.rank <= Priority.HIGH.rank:
             return waited < URGENT_WAIT
-        within = timedelta(seconds=spec.due_s) if spec.due_s is not None else self._finish_within.get(spec.jobclass)
-        if within is None:
+        within, latest = self._asked(spec)
+        if within is None or latest is None:
             return waited < ROUTINE_WAIT
         slowest = min((kind.fetch_gb_per_s for kind in self.types.values()), default=1.0)
-        takes = run_time(spec) * OVERRUN + timedelta(seconds=spec.image_gb / max(slowest, 1e-3)) + START_UP
-        return now + takes < run.submitted + within
+        starts = boot + timedelta(seconds=spec.image_gb / max(slowest, 1e-3)) + START_UP
+        if now + starts + run_time(spec) > run.submitted + latest:
+            return True
+        return now + starts + run_time(spec) * OVERRUN < run.submitted + within
+
+    def _asked(self, spec: JobSpec) -> tuple[timedelta | None, timedelta | None]:
+        """When a job should be done, and when at the very latest."""
+        if spec.due_s is not None:
+            within = timedelta(seconds=spec.due_s)
+            return within, within * self._late_at.get(spec.jobclass, 1.0)
+        return self._finish_within.get(spec.jobclass, (None, None))
 
     def dear(self, kind: MachineType, spot: bool, spec: JobSpec) -> bool:
         """An ordinary machine whose places cost far more than those of another ordinary type."""
--- a/gingerspar/coordination/fleet.py
+++ b/gingerspar/coordination/fleet.py
@@ -115,8 +115,8 @@
         for offer in choices:
             if left > 0 and offer in bins:
                 left -= bins[offer].put(spec, left)
-        if left > 0 and book.can_wait(run, now):
-            choices = [offer for offer in choices if not book.dear(types[offer[0]], offer[2], spec)]
+        if left > 0:
+            choices = [offer for offer in choices if not _too_dear(book, run, types[offer[0]], offer[2], now)]
         while left > 0:
             best = _cheapest(run, left, choices, types, refusals, rent, now)
             if best is None:
@@ -130,6 +130,11 @@
     return rent
 
 
+def _too_dear(book: Book, run: JobRun, kind: MachineType, spot: bool, now: timedelta) -> bool:
+    """A dear machine that the job doesn't need, or that would come too late for it."""
+    return book.dear(kind, spot, run.spec) and book.can_wait(run, now, timedelta(seconds=kind.boot_s))
+
+
 def _cheapest(
     run: JobRun,
     left: int,
--- a/gingerspar/coordination/placer.py
+++ b/gingerspar/coordination/placer.py
@@ -136,7 +136,17 @@
         if kept:
             there = {machine.name for machine in machines}
             machines = machines + [m for m in kept if m.name not in there and self._ready(m, spec)]
-        found = placing.choose_all(spec, machines, spec.tasks, placing.Scorer(spec, book.types, now))
+        scorer = placing.Scorer(spec, book.types, now)
+        found = placing.choose_all(spec, machines, spec.tasks, scorer)
+        if found is not None and any(self._prolongs_dear(spec, machine, now) for machine in set(found)):
+            cheap = [machine for machine in machines if not self._prolongs_dear(spec, machine, now)]
+            found = placing.choose_all(spec, cheap, spec.tasks, scorer)
+            if found is None and book.can_wait(run, now):
+                among = [m for m in book.pool.allowed(spec) if not self._prolongs_dear(spec, m, now)]
+                if self._room.make_among(run, among, now):
+                    return
+            if found is None:
+                found = placing.choose_all(spec, machines, spec.tasks, scorer)
         if found is None:
             self._room.make(run, machines, now)
             return
--- a/gingerspar/coordination/room.py
+++ b/gingerspar/coordination/room.py
@@ -59,15 +59,28 @@
                 return  # it had its time: others must not starve for it
             run.booked_since = None
         run.room_sought = now
-        slots = self._slots(run, now)
+        slots = self._slots(run, self._book.pool.allowed(spec), now)
         if spec.one_zone:
-            slots = _best_zone(slots)
+            slots = _best_zone(slots, spec.tasks)
         if len(slots) >= spec.tasks:
             self._take(run, slots[: spec.tasks], now)
         elif self._could_fit(run):
             self._take(run, [slot for slot in slots if not slot.victims], now)
 
-    def _slots(self, run: JobRun, now: timedelta) -> list[Slot]:
+    def make_among(self, run: JobRun, machines: list[Machine], now: timedelta) -> bool:
+        """Makes room on these machines, if stopping what is less urgent there is enough."""
+        if run.spec.spread:
+            return False
+        slots = self._slots(run, machines, now)
+        if run.spec.one_zone:
+            slots = _best_zone(slots, run.spec.tasks)
+        if len(slots) < run.spec.tasks:
+            return False
+        run.room_sought = now
+        self._take(run, slots[: run.spec.tasks], now)
+        return True
+
+    def _slots(self, run: JobRun, machines: list[Machine], now: timedelta) -> list[Slot]:
         """Places for the gang's tasks, those for which least is lost first.
 
         Only the machines that promise the least loss for each place are gone through task
@@ -76,7 +89,7 @@
         spec = run.spec
         slots: list[Slot] = []
         promising: list[tuple[float, str, Machine]] = []
-        for machine in self._book.pool.allowed(spec):
+        for machine in machines:
             free = machine.room_for(spec)
             if free:
                 slots += [Slot(0.0, machine, [])] * min(free, spec.tasks)
@@ -159,13 +172,17 @@
         return found
 
 
-def _best_zone(slots: list[Slot]) -> list[Slot]:
-    """The slots in the zone that has the most of them."""
-    counts: dict[str, int] = {}
+def _best_zone(slots: list[Slot], count: int) -> list[Slot]:
+    """The slots of one zone: where ``count`` of them lose least, or else where there are most."""
+    zones: dict[str, list[Slot]] = {}
     for slot in slots:
-        counts[slot.machine.zone] = counts.get(slot.machine.zone, 0) + 1
-    best = max(counts, key=lambda zone: (counts[zone], zone), default="")
-    return [slot for slot in slots if slot.machine.zone == best]
+        zones.setdefault(slot.machine.zone, []).append(slot)
+
+    def worth(zone: str) -> tuple[int, float, str]:
+        there = zones[zone][:count]
+        return (-len(there), sum(slot.lost for slot in there), zone)
+
+    return zones[min(zones, key=worth)] if zones else []
 
 
 def lost_work(placement: Placement, now: timedelta) -> float:
