--- a/gingerspar/coordination/placer.py
+++ b/gingerspar/coordination/placer.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 from gingerspar.coordination import placement as placing
-from gingerspar.coordination.book import OVERRUN, Book
+from gingerspar.coordination.book import Book
 from gingerspar.coordination.ledger import Machine, run_time
 from gingerspar.coordination.pool import allows
 from gingerspar.coordination.room import RoomMaker
@@ -198,15 +198,11 @@
         book.backlog.refile(run, now)
 
     def _prolongs_dear(self, spec: JobSpec, machine: Machine, now: timedelta) -> bool:
-        """Whether a dear machine would probably have to stay longer for the task.
-
-        Estimates are often too low: one such task after the other kept a machine for good.
-        """
+        """Whether a dear machine would have to stay longer for the task."""
         kind = machine.kind
         if kind is None or not self._book.dear(kind, machine.spot, spec):
             return False
-        end = machine.look_ahead().last_end
-        return end is None or now + run_time(spec) * OVERRUN > end
+        return now + run_time(spec) > placing.busy_until(machine, now)
 
     def _beside_accelerated(self, spec: JobSpec, machines: list[Machine]) -> list[Machine]:
         """Keeps routine work from taking the processors that free accelerators need.
