--- a/gingerspar/coordination/frontdoor.py
+++ b/gingerspar/coordination/frontdoor.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import math
 from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
@@ -133,8 +134,10 @@
             if known is not None:
                 return self._state(200, job, known)
             return refusal or problem(503, "try again", 1)
-        if len(self._queue) >= MOST_WAITING:
-            return problem(429, "too many submissions", 2)
+        ahead = len(self._queue) / self._client.write_rate
+        if len(self._queue) >= MOST_WAITING or ahead > WRITE_WAIT.total_seconds():
+            # It would not be committed before its user gives up: say so now, not then.
+            return problem(429, "too many submissions", max(1, math.ceil(ahead - WRITE_WAIT.total_seconds())))
         return await self._accept(spec)
 
     def _check(self, body: Any) -> tuple[JobSpec | None, Answer | None]:
--- a/gingerspar/storage/budgets.py
+++ b/gingerspar/storage/budgets.py
@@ -37,6 +37,10 @@
         self._measured = clock.now()
         self._demand = 0.0
 
+    @property
+    def rate(self) -> float:
+        return self._rate
+
     @property
     def burst(self) -> float:
         return self._burst
--- a/gingerspar/storage/client.py
+++ b/gingerspar/storage/client.py
@@ -65,6 +65,11 @@
         """Changes in one transaction: what the service allows, and what this node may write at once."""
         return max(1, min(self._txn_ops, int(self._writes.burst)))
 
+    @property
+    def write_rate(self) -> float:
+        """Changes a second that this node may write now."""
+        return self._writes.rate
+
     @property
     def write_demand(self) -> float:
         return self._writes.demand()
--- /dev/null
+++ b/tests/test_frontdoor.py
@@ -0,0 +1,49 @@
+"""The front door's limits, without a network."""
+
+import asyncio
+from types import SimpleNamespace
+from typing import Any
+
+import msgspec
+
+from gingerspar.coordination.frontdoor import MOST_WAITING, WRITE_WAIT, FrontDoor
+from gingerspar.protocol.messages import MachineType
+from gingerspar.protocol.settings import TeamFacts
+from gingerspar.storage.view import Phase, WatchedView
+from gingerspar.transport.clock import Clock
+from tests.standins.cluster import job
+
+
+def _door(write_rate: float) -> FrontDoor:
+    clock = Clock()
+    client: Any = SimpleNamespace(write_rate=write_rate, most_puts=8)
+    view = WatchedView(client, clock, rps=100, nodes=3)
+    view.phase, view.read_sent = Phase.FOLLOWING, clock.now()
+    claims: Any = SimpleNamespace()
+    door = FrontDoor(client, view, claims, clock, {"red": TeamFacts("red")})
+    kind = MachineType(name="big", zones=("z",), cpus=96, gpus=8, memory_gb=384, price=1.0)
+    door.types = lambda: {kind.name: kind}
+    return door
+
+
+async def _crowd(write_rate: float, users: int) -> list[tuple[int, str | None]]:
+    """What each of the users has been answered a moment after all have come at once."""
+    door = _door(write_rate)
+    waiting = [asyncio.ensure_future(door.submit(msgspec.json.encode(job(n)))) for n in range(users)]
+    await asyncio.sleep(0.05)
+    answers = [task.result() for task in waiting if task.done()]
+    for task in waiting:
+        task.cancel()
+    return [(answer.status, answer.headers.get("Retry-After")) for answer in answers]
+
+
+def test_who_can_not_be_served_in_time_is_told_at_once() -> None:
+    """Submissions queued behind more writes than their users would wait for."""
+    room = int(2.0 * WRITE_WAIT.total_seconds()) + 1
+    answers = asyncio.run(_crowd(2.0, room + 3))
+    assert answers == [(429, "1")] * 3
+
+
+def test_the_queue_has_an_end() -> None:
+    answers = asyncio.run(_crowd(1000.0, MOST_WAITING + 2))
+    assert [status for status, _ in answers] == [429, 429]
