--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -501,8 +501,8 @@
 
     def _hand_over(self, job: str, version: int, record: JobRecord) -> None:
         term = self._view.term
-        if self._post is not None or term is None:
-            return
+        if self._post is not None or term is None or term[0].holder == self._node:
+            return  # one that has just resigned is still the holder on record; the next one reads the record
         message = peers.Handover(self._node, term[0].term, records.job_key(job), version, records.pack(record))
         self._link.send(term[0].holder, peers.pack(message))
 
--- a/gingerspar/transport/peerlink.py
+++ b/gingerspar/transport/peerlink.py
@@ -134,7 +134,8 @@
         return list(self._outgoing)
 
     def up(self, peer: str) -> bool:
-        return self._outgoing[peer].up
+        out = self._outgoing.get(peer)
+        return out is not None and out.up
 
     def age(self, peer: str) -> timedelta:
         return self._outgoing[peer].age
@@ -144,7 +145,9 @@
         self._outgoing[peer].close()
 
     def send(self, peer: str, message: bytes) -> bool:
-        return self._outgoing[peer].send(netstrings.pack(message))
+        """False if it can't be sent: nor can anything to this node itself or to one that is not in the settings."""
+        out = self._outgoing.get(peer)
+        return out is not None and out.send(netstrings.pack(message))
 
     def broadcast(self, message: bytes) -> None:
         frame = netstrings.pack(message)
