--- a/gingerspar/coordination/book.py
+++ b/gingerspar/coordination/book.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
+from gingerspar.coordination.estimates import Estimates
 from gingerspar.coordination.ledger import (
     NOTHING,
     Machine,
@@ -15,7 +16,6 @@
     Placement,
     TaskState,
     Usage,
-    run_time,
     slot_cost,
 )
 from gingerspar.coordination.pool import Pool, allows
@@ -50,6 +50,7 @@
                 times = max(objective.times, self._late_at.get(objective.jobclass, 1.0))
                 self._late_at[objective.jobclass] = times
         self.teams = {team.name: team for team in teams}
+        self.estimates = Estimates()
         self.types: dict[str, MachineType] = {}
         self.pool = Pool()
         self.runs: dict[str, JobRun] = {}
@@ -221,9 +222,30 @@
             return waited < ROUTINE_WAIT
         slowest = min((kind.fetch_gb_per_s for kind in self.types.values()), default=1.0)
         starts = boot + timedelta(seconds=spec.image_gb / max(slowest, 1e-3)) + START_UP
-        if now + starts + run_time(spec) > run.submitted + latest:
+        if now + starts + self.estimates.run_time(spec) > run.submitted + latest:
             return True
-        return now + starts + run_time(spec) * OVERRUN < run.submitted + within
+        return now + starts + self.estimates.run_time(spec) * OVERRUN < run.submitted + within
+
+    def slack(self, run: JobRun, now: timedelta) -> timedelta:
+        """How much later than now the tasks of a job may start without it being late."""
+        spec = run.spec
+        waited = now - run.waiting_since if run.waiting_since is not None else NOTHING
+        if spec.priority.rank <= Priority.HIGH.rank:
+            return URGENT_WAIT - waited
+        within, _ = self._asked(spec)
+        if within is None:
+            return ROUTINE_WAIT - waited
+        return run.submitted + within - now - START_UP - self.estimates.run_time(spec) * OVERRUN
+
+    def lateness(self, run: JobRun, now: timedelta) -> int:
+        """0: a job with a deadline may be in time; 1: it will be late; 2: later than still counts."""
+        if run.spec.due_s is None:
+            return 0
+        within, latest = self._asked(run.spec)
+        done = now + START_UP + self.estimates.run_time(run.spec) - run.submitted
+        if within is None or latest is None or done <= within:
+            return 0
+        return 1 if done <= latest else 2
 
     def _asked(self, spec: JobSpec) -> tuple[timedelta | None, timedelta | None]:
         """When a job should be done, and when at the very latest."""
--- a/gingerspar/coordination/dispatcher.py
+++ b/gingerspar/coordination/dispatcher.py
@@ -131,6 +131,7 @@
             age = self._today().timestamp() - record.submitted
             run.submitted = now - timedelta(seconds=max(age, 0.0))
         run.open.update(finished.missing())
+        self.book.estimates.job(run.spec)
         if run.spec.gpus:
             self.book.accelerated[run.spec.jobclass] = run.spec
         return run
@@ -252,6 +253,8 @@
         placement.cause = cause
         run = self.book.exited(placement, now)
         if cause is Cause.DONE:
+            if placement.running_since is not None:
+                self.book.estimates.task(placement.spec, now - placement.running_since)
             machine.remember_image(placement.spec.image, placement.spec.image_gb)
             machine.errors.clear()
             run.failures.clear()
--- a/gingerspar/coordination/fleet.py
+++ b/gingerspar/coordination/fleet.py
@@ -1,5 +1,6 @@
 """How many machines of which kind: pure planning over the books."""
 
+import logging
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -7,11 +8,13 @@
 
 from gingerspar.coordination import placement as placing
 from gingerspar.coordination.book import Book
-from gingerspar.coordination.ledger import Machine, MachineState, fits
+from gingerspar.coordination.ledger import NOTHING, Machine, MachineState, Usage, fits
 from gingerspar.coordination.pool import Offer, allows
 from gingerspar.coordination.runs import JobRun
 from gingerspar.protocol.messages import JobSpec, MachineType, Priority
 
+log = logging.getLogger(__name__)
+
 MOST_RENTED_AT_ONCE = 50
 FIRST_REFUSAL = timedelta(seconds=4)
 MOST_REFUSAL = timedelta(seconds=30)
@@ -20,6 +23,7 @@
 DEAR = 3.0  # times the price of a place on the cheapest machine
 FULL_ENOUGH = 0.75
 WORTH_ANY_PRICE = timedelta(seconds=20)  # work that has waited so long gets whatever there is
+FREE_STEP = timedelta(seconds=4)
 BEGUN_KEPT = 3  # machines begun but not full that are remembered for each offer
 
 
@@ -84,6 +88,52 @@
     return cpus - spec.cpus * count, gpus - spec.gpus * count, memory - spec.memory_gb * count
 
 
+class ComingFree:
+    """Room that running tasks will probably leave before a machine rented now could be up."""
+
+    def __init__(self, book: Book, now: timedelta) -> None:
+        self._now = now
+        self._ends: dict[Offer, list[tuple[timedelta, JobSpec]]] = {}
+        self._taken: dict[Offer, Usage] = {}
+        spans: dict[str, timedelta] = {}
+        for machine in book.pool.among(MachineState.READY):
+            ends = self._ends.setdefault((machine.type, machine.zone, machine.spot), [])
+            for placement in machine.live.values():
+                since = placement.running_since
+                if since is not None:
+                    span = spans.get(placement.job)
+                    if span is None:
+                        span = spans[placement.job] = book.estimates.run_time(placement.spec)
+                    ends.append((since + span, placement.spec))
+        self._sums: dict[tuple[Offer, timedelta], Usage] = {}
+
+    def _until(self, offer: Offer, span: timedelta) -> Usage:
+        """What is released there within the span; work past its estimate is about to end."""
+        step = math.ceil(span / FREE_STEP) * FREE_STEP
+        total = self._sums.get((offer, step))
+        if total is None:
+            total = self._sums[(offer, step)] = Usage()
+            for end, spec in self._ends[offer]:
+                if end <= self._now + step:
+                    total.add(spec)
+        return total
+
+    def put(self, spec: JobSpec, count: int, span: timedelta) -> int:
+        """Takes places for up to ``count`` tasks from what is left; how many it found."""
+        found = 0
+        for offer in self._ends:
+            if found >= count:
+                break
+            if not allows(spec, *offer):
+                continue
+            coming, taken = self._until(offer, span), self._taken.setdefault(offer, Usage())
+            places = fits(spec, coming.cpus - taken.cpus, coming.gpus - taken.gpus, coming.memory_gb - taken.memory_gb)
+            places = min(places, count - found)
+            taken.add(spec, places)
+            found += places
+        return found
+
+
 def offers(spec: JobSpec, types: dict[str, MachineType]) -> list[Offer]:
     found: list[Offer] = []
     for kind in types.values():
@@ -103,6 +153,7 @@
             offer = (machine.type, machine.zone, machine.spot)
             bins.setdefault(offer, Bins(offer, machine.kind)).add(1)
     rent: dict[Offer, int] = {}
+    coming = ComingFree(book, now)
     for run in book.backlog:
         if book.blocked(run):
             continue
@@ -117,19 +168,49 @@
                 left -= bins[offer].put(spec, left)
         if left > 0:
             choices = [offer for offer in choices if not _too_dear(book, run, types[offer[0]], offer[2], now)]
-        while left > 0:
-            best = _cheapest(run, left, choices, types, refusals, rent, now)
-            if best is None:
-                break
-            kind = types[best[0]]
-            count = min(max(left // placing.slots(kind, spec), 1), MOST_RENTED_AT_ONCE - rent.get(best, 0))
-            rent[best] = rent.get(best, 0) + count
-            fresh = bins.setdefault(best, Bins(best, kind))
-            fresh.add(count)
-            left -= fresh.put(spec, left)
+            left = _rent(run, left, [offer for offer in choices if offer[2]], types, refusals, rent, bins, now)
+        if left > 0 and not run.gangs:
+            left -= coming.put(spec, left, _may_take(book, run, choices, now))
+        if left > 0:
+            _rent(run, left, choices, types, refusals, rent, bins, now)
     return rent
 
 
+def _rent(
+    run: JobRun,
+    left: int,
+    choices: list[Offer],
+    types: dict[str, MachineType],
+    refusals: Refusals,
+    rent: dict[Offer, int],
+    bins: dict[Offer, Bins],
+    now: timedelta,
+) -> int:
+    """Adds machines for a run's tasks; how many find none."""
+    while left > 0:
+        best = _cheapest(run, left, choices, types, refusals, rent, now)
+        if best is None:
+            break
+        kind = types[best[0]]
+        count = min(max(left // placing.slots(kind, run.spec), 1), MOST_RENTED_AT_ONCE - rent.get(best, 0))
+        rent[best] = rent.get(best, 0) + count
+        log.debug("%d %s for %s %s", count, "/".join(map(str, best)), run.spec.jobclass, run.spec.job)
+        fresh = bins.setdefault(best, Bins(best, kind))
+        fresh.add(count)
+        left -= fresh.put(run.spec, left)
+    return left
+
+
+def _may_take(book: Book, run: JobRun, choices: list[Offer], now: timedelta) -> timedelta:
+    """How long the tasks of a run may wait for places that come free.
+
+    Not longer than a rented machine would boot: else that is the sooner one; and not so long that
+    the job would be late.
+    """
+    boot = min((timedelta(seconds=book.types[offer[0]].boot_s) for offer in choices), default=NOTHING)
+    return max(min(boot, book.slack(run, now)), NOTHING)
+
+
 def _too_dear(book: Book, run: JobRun, kind: MachineType, spot: bool, now: timedelta) -> bool:
     """A dear machine that the job doesn't need, or that would come too late for it."""
     return book.dear(kind, spot, run.spec) and book.can_wait(run, now, timedelta(seconds=kind.boot_s))
--- a/gingerspar/coordination/placer.py
+++ b/gingerspar/coordination/placer.py
@@ -6,7 +6,7 @@
 
 from gingerspar.coordination import placement as placing
 from gingerspar.coordination.book import Book
-from gingerspar.coordination.ledger import Machine, run_time
+from gingerspar.coordination.ledger import Machine
 from gingerspar.coordination.pool import allows
 from gingerspar.coordination.room import RoomMaker
 from gingerspar.coordination.runs import GangState, JobRun
@@ -51,6 +51,8 @@
         backlog.due(now)
         if now - self._looked_again >= LOOK_AGAIN:
             self._looked_again = now
+            for run in backlog:
+                backlog.put_back(run, book.lateness(run, now))
             backlog.look_again()
         if self._walked is None:
             self._gained = pool.take_gained()
@@ -202,7 +204,7 @@
         kind = machine.kind
         if kind is None or not self._book.dear(kind, machine.spot, spec):
             return False
-        return now + run_time(spec) > placing.busy_until(machine, now)
+        return now + self._book.estimates.run_time(spec) > placing.busy_until(machine, now)
 
     def _beside_accelerated(self, spec: JobSpec, machines: list[Machine]) -> list[Machine]:
         """Keeps routine work from taking the processors that free accelerators need.
--- a/gingerspar/coordination/runs.py
+++ b/gingerspar/coordination/runs.py
@@ -12,6 +12,7 @@
 from gingerspar.storage.records import JobRecord, Order, TaskSet
 
 FIRST_BACKOFF = timedelta(seconds=1)
+MUCH_LATER = 1e7  # seconds, more than any deadline is ahead
 
 
 class GangState(Enum):
@@ -47,7 +48,8 @@
     booked: dict[Machine, int] = field(default_factory=dict)  # room that is kept for a gang
     booked_since: timedelta | None = None
     room_sought: timedelta | None = None  # when work was last looked at that could make room
-    order: Order = field(init=False)  # stays the same for as long as the job lives
+    order: Order = field(init=False)  # changes only when the job is seen to be late
+    lateness: int = 0
 
     def __post_init__(self) -> None:
         self.order = self.record.order
@@ -124,6 +126,18 @@
                 del self._delayed[job]
                 self.refile(run, now)
 
+    def put_back(self, run: JobRun, lateness: int) -> None:
+        """Work that can't be in time any more comes after what can."""
+        if run.lateness >= lateness:
+            return
+        run.lateness = lateness
+        rank, due, submitted, job = run.record.order
+        order = (rank, due + lateness * MUCH_LATER, submitted, job)
+        for queue in (self.waiting, self.unseen):
+            if queue.pop(run.order, None) is not None:
+                queue[order] = run
+        run.order = order
+
     def look_again(self) -> None:
         """All that wait are compared with all machines once more."""
         self.unseen.update(self.waiting)
--- a/tests/tracing.py
+++ b/tests/tracing.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from gingerspar.coordination import fleet
 from gingerspar.coordination.dispatcher import Dispatcher, Outdated, Stale
 from gingerspar.coordination.ledger import MachineState
 from gingerspar.protocol.messages import (
@@ -207,6 +208,10 @@
         elif what == "wants-attempt":
             asked = self.dispatcher.runs[words[0]].needs_attempt
             assert asked == (words[1] == "yes"), f"is {asked}"
+        elif what == "rents":
+            wanted = fleet.wanted(self.dispatcher.book, fleet.Refusals(), self.now)
+            rents = sorted(f"{name}={count}" for (name, *_), count in wanted.items())
+            assert rents == words, f"rents {rents}"
         elif what == "unknown-job":
             assert words[0] not in self.dispatcher.runs
         else:
