--- a/gingerspar/coordination/book.py
+++ b/gingerspar/coordination/book.py
@@ -29,6 +29,7 @@
 URGENT_WAIT = timedelta(seconds=5)
 ROUTINE_WAIT = timedelta(seconds=20)  # of work that nobody asks anything of
 OVERRUN = 1.3  # estimates are often wrong by half
+SPENT_ON_WAITING = 0.5  # of the time to spare: a job is done with its slowest task
 START_UP = timedelta(seconds=5)  # claim, reports and what else comes before a task runs
 DEAR = 1.5
 _COUNTED = (TaskState.RUNNING, TaskState.SAVING)  # shown to users as running
@@ -227,15 +228,12 @@
         return now + starts + self.estimates.run_time(spec) * OVERRUN < run.submitted + within
 
     def slack(self, run: JobRun, now: timedelta) -> timedelta:
-        """How much later than now the tasks of a job may start without it being late."""
-        spec = run.spec
-        waited = now - run.waiting_since if run.waiting_since is not None else NOTHING
-        if spec.priority.rank <= Priority.HIGH.rank:
-            return URGENT_WAIT - waited
-        within, _ = self._asked(spec)
-        if within is None:
-            return ROUTINE_WAIT - waited
-        return run.submitted + within - now - START_UP - self.estimates.run_time(spec) * OVERRUN
+        """How much later than now the tasks of a job may well start; nothing if nobody says when it should be done."""
+        within, _ = self._asked(run.spec)
+        if within is None or run.spec.priority.rank <= Priority.HIGH.rank:
+            return NOTHING
+        left = run.submitted + within - now - START_UP - self.estimates.run_time(run.spec) * OVERRUN
+        return max(left * SPENT_ON_WAITING, NOTHING)
 
     def lateness(self, run: JobRun, now: timedelta) -> int:
         """0: a job with a deadline may be in time; 1: it will be late; 2: later than still counts."""
--- a/gingerspar/coordination/fleet.py
+++ b/gingerspar/coordination/fleet.py
@@ -121,7 +121,7 @@
     def put(self, spec: JobSpec, count: int, span: timedelta) -> int:
         """Takes places for up to ``count`` tasks from what is left; how many it found."""
         found = 0
-        for offer in self._ends:
+        for offer in self._ends if span > NOTHING else ():
             if found >= count:
                 break
             if not allows(spec, *offer):
@@ -146,107 +146,106 @@
 
 def wanted(book: Book, refusals: Refusals, now: timedelta) -> dict[Offer, int]:
     """Machines to rent for the open tasks that find no room, nor will on those that boot."""
-    types = book.types
-    bins: dict[Offer, Bins] = {}
-    for machine in book.pool.among(MachineState.BOOTING):
-        if machine.kind is not None:
-            offer = (machine.type, machine.zone, machine.spot)
-            bins.setdefault(offer, Bins(offer, machine.kind)).add(1)
-    rent: dict[Offer, int] = {}
-    coming = ComingFree(book, now)
+    plan = _Plan(book, refusals, now)
     for run in book.backlog:
-        if book.blocked(run):
-            continue
+        if not book.blocked(run):
+            plan.serve(run)
+    return plan.rent
+
+
+class _Plan:
+    """What is to be rented now, worked out run by run."""
+
+    def __init__(self, book: Book, refusals: Refusals, now: timedelta) -> None:
+        self.rent: dict[Offer, int] = {}
+        self._book = book
+        self._types = book.types
+        self._refusals = refusals
+        self._now = now
+        self._coming = ComingFree(book, now)
+        self._bins: dict[Offer, Bins] = {}
+        for machine in book.pool.among(MachineState.BOOTING):
+            if machine.kind is not None:
+                self._bin((machine.type, machine.zone, machine.spot)).add(1)
+
+    def _bin(self, offer: Offer) -> Bins:
+        found = self._bins.get(offer)
+        if found is None:
+            found = self._bins[offer] = Bins(offer, self._types[offer[0]])
+        return found
+
+    def serve(self, run: JobRun) -> None:
         spec = run.spec
-        left = min(len(run.open), book.team_room(spec))
-        choices = offers(spec, types)
+        left = min(len(run.open), self._book.team_room(spec))
+        choices = offers(spec, self._types)
         if spec.one_zone and run.places:
             zone = run.live[0].machine.zone
             choices = [offer for offer in choices if offer[1] == zone]
         for offer in choices:
-            if left > 0 and offer in bins:
-                left -= bins[offer].put(spec, left)
-        if left > 0:
-            choices = [offer for offer in choices if not _too_dear(book, run, types[offer[0]], offer[2], now)]
-            left = _rent(run, left, [offer for offer in choices if offer[2]], types, refusals, rent, bins, now)
-        if left > 0 and not run.gangs:
-            left -= coming.put(spec, left, _may_take(book, run, choices, now))
-        if left > 0:
-            _rent(run, left, choices, types, refusals, rent, bins, now)
-    return rent
-
-
-def _rent(
-    run: JobRun,
-    left: int,
-    choices: list[Offer],
-    types: dict[str, MachineType],
-    refusals: Refusals,
-    rent: dict[Offer, int],
-    bins: dict[Offer, Bins],
-    now: timedelta,
-) -> int:
-    """Adds machines for a run's tasks; how many find none."""
-    while left > 0:
-        best = _cheapest(run, left, choices, types, refusals, rent, now)
-        if best is None:
-            break
-        kind = types[best[0]]
-        count = min(max(left // placing.slots(kind, run.spec), 1), MOST_RENTED_AT_ONCE - rent.get(best, 0))
-        rent[best] = rent.get(best, 0) + count
-        log.debug("%d %s for %s %s", count, "/".join(map(str, best)), run.spec.jobclass, run.spec.job)
-        fresh = bins.setdefault(best, Bins(best, kind))
-        fresh.add(count)
-        left -= fresh.put(run.spec, left)
-    return left
-
-
-def _may_take(book: Book, run: JobRun, choices: list[Offer], now: timedelta) -> timedelta:
-    """How long the tasks of a run may wait for places that come free.
-
-    Not longer than a rented machine would boot: else that is the sooner one; and not so long that
-    the job would be late.
-    """
-    boot = min((timedelta(seconds=book.types[offer[0]].boot_s) for offer in choices), default=NOTHING)
-    return max(min(boot, book.slack(run, now)), NOTHING)
-
-
-def _too_dear(book: Book, run: JobRun, kind: MachineType, spot: bool, now: timedelta) -> bool:
-    """A dear machine that the job doesn't need, or that would come too late for it."""
-    return book.dear(kind, spot, run.spec) and book.can_wait(run, now, timedelta(seconds=kind.boot_s))
-
-
-def _cheapest(
-    run: JobRun,
-    left: int,
-    choices: list[Offer],
-    types: dict[str, MachineType],
-    refusals: Refusals,
-    rent: dict[Offer, int],
-    now: timedelta,
-) -> Offer | None:
-    spec = run.spec
-    open_choices = [o for o in choices if refusals.open(o, now) and rent.get(o, 0) < MOST_RENTED_AT_ONCE]
-    if not open_choices:
-        return None
-    least = min((placing.slot_cost(types[name], spot, spec) for name, _, spot in choices), default=0.0)
-    patient = spec.priority.rank > Priority.HIGH.rank and not (
-        run.waiting_since is not None and now - run.waiting_since > WORTH_ANY_PRICE
-    )
-    best: Offer | None = None
-    best_cost = float("inf")
-    for offer in open_choices:
-        kind = types[offer[0]]
-        full = placing.slots(kind, spec)
-        slots = min(full, left)
-        if slots <= 0:
-            continue
-        cost = kind.cost(offer[2]) / slots
-        if patient and slots < FULL_ENOUGH * full and cost > DEAR * least:
-            continue  # a dear machine that would stand mostly empty: wait for places here
-        if cost < best_cost:
-            best, best_cost = offer, cost
-    return best
+            if left > 0 and offer in self._bins:
+                left -= self._bins[offer].put(spec, left)
+        if left <= 0:
+            return
+        choices = [offer for offer in choices if not self._too_dear(run, offer)]
+        left = self._add(run, left, [offer for offer in choices if offer[2]])
+        dear = [offer for offer in choices if self._book.dear(self._types[offer[0]], offer[2], spec)]
+        if not run.gangs:
+            # A place that comes free is taken instead of a machine that would be up no sooner, as far
+            # as the job has the time; a dear one that would be up later is not rented in any case.
+            spare = self._book.slack(run, self._now)
+            left -= self._coming.put(spec, left, min(spare, self._boot(choices)))
+            left = self._add(run, left, [offer for offer in choices if offer not in dear])
+            left -= self._coming.put(spec, left, self._boot(dear))
+        self._add(run, left, choices)
+
+    def _add(self, run: JobRun, left: int, choices: list[Offer]) -> int:
+        """Adds machines for a run's tasks; how many find none."""
+        while left > 0:
+            best = self._cheapest(run, left, choices)
+            if best is None:
+                break
+            full = placing.slots(self._types[best[0]], run.spec)
+            count = min(max(left // full, 1), MOST_RENTED_AT_ONCE - self.rent.get(best, 0))
+            self.rent[best] = self.rent.get(best, 0) + count
+            log.debug("%d %s for %s %s", count, "/".join(map(str, best)), run.spec.jobclass, run.spec.job)
+            self._bin(best).add(count)
+            left -= self._bin(best).put(run.spec, left)
+        return left
+
+    def _boot(self, choices: list[Offer]) -> timedelta:
+        return min((timedelta(seconds=self._types[name].boot_s) for name, _, _ in choices), default=NOTHING)
+
+    def _too_dear(self, run: JobRun, offer: Offer) -> bool:
+        """A dear machine that the job doesn't need, or that would come too late for it."""
+        kind = self._types[offer[0]]
+        boot = timedelta(seconds=kind.boot_s)
+        return self._book.dear(kind, offer[2], run.spec) and self._book.can_wait(run, self._now, boot)
+
+    def _cheapest(self, run: JobRun, left: int, choices: list[Offer]) -> Offer | None:
+        spec = run.spec
+        now = self._now
+        least = min((placing.slot_cost(self._types[name], spot, spec) for name, _, spot in choices), default=0.0)
+        patient = spec.priority.rank > Priority.HIGH.rank and not (
+            run.waiting_since is not None and now - run.waiting_since > WORTH_ANY_PRICE
+        )
+        best: Offer | None = None
+        best_cost = float("inf")
+        for offer in choices:
+            if not self._refusals.open(offer, now):
+                continue
+            kind = self._types[offer[0]]
+            full = placing.slots(kind, spec)
+            slots = min(full, left)
+            if slots <= 0:
+                continue
+            cost = kind.cost(offer[2]) / slots
+            if patient and slots < FULL_ENOUGH * full and cost > DEAR * least:
+                continue  # a dear machine that would stand mostly empty: wait for places here
+            if cost < best_cost:
+                best, best_cost = offer, cost
+        if best is not None and self.rent.get(best, 0) >= MOST_RENTED_AT_ONCE:
+            return None  # there may be more of these: the next round asks, before dearer ones are taken
+        return best
 
 
 def _patience(kind: MachineType, offer: Offer, specs: Iterable[JobSpec], book: Book, most: timedelta) -> timedelta:
