--- a/gingerspar/coordination/command.py
+++ b/gingerspar/coordination/command.py
@@ -84,6 +84,7 @@
         self._woken: set[str] = set()  # machines that commands wait for
         self._work = asyncio.Event()
         self._refusals = fleet.Refusals()
+        self._spare = fleet.Spare()
         self._rentals = 0
         self._said = clock.now()
         self._renting: set[Offer] = set()
@@ -286,7 +287,7 @@
                     if offer not in self._renting:
                         self._renting.add(offer)
                         self._spawn(self._rent(offer, min(count, fleet.MOST_RENTED_AT_ONCE)))
-                back = fleet.idle(self.dispatcher.book, now, self._settings.idle_return)[:100]
+                back = fleet.idle(self.dispatcher.book, self._spare, now, self._settings.idle_return)[:100]
                 if back:
                     for machine in back:
                         machine.move(MachineState.RETURNING)
--- a/gingerspar/coordination/fleet.py
+++ b/gingerspar/coordination/fleet.py
@@ -2,6 +2,7 @@
 
 import logging
 import math
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -18,6 +19,7 @@
 MOST_RENTED_AT_ONCE = 50
 FIRST_REFUSAL = timedelta(seconds=4)
 MOST_REFUSAL = timedelta(seconds=30)
+SPARE_FOR = 0.5  # of that time, for as many as were never in use at once
 LEAST_PATIENCE = 0.1  # of the boot time, for machines that nothing here needs
 WARMTH = 4  # fetches of an urgent class's image that a cheap machine is kept for
 DEAR = 3.0  # times the price of a place on the cheapest machine
@@ -270,7 +272,34 @@
     return min(most, timedelta(seconds=kind.boot_s) * max(best * best, LEAST_PATIENCE) + warm * WARMTH)
 
 
-def idle(book: Book, now: timedelta, patience: timedelta) -> list[Machine]:
+class Spare:
+    """How many machines of each offer have been idle at the same time, whichever they were.
+
+    Work moves among idle machines, so that each is used now and then though half of them
+    are never used at once.
+    """
+
+    def __init__(self) -> None:
+        self._counts: dict[Offer, deque[tuple[timedelta, int]]] = {}
+
+    def least(self, offer: Offer, count: int, now: timedelta, span: timedelta) -> int:
+        """Notes how many are idle now; how many always were within the span."""
+        counts = self._counts.setdefault(offer, deque())
+        counts.append((now, count))
+        while len(counts) > 1 and counts[1][0] <= now - span:
+            counts.popleft()
+        return min(idle for _, idle in counts) if counts[0][0] <= now - span else 0
+
+    def none_but(self, offers: Iterable[Offer]) -> None:
+        """Of all others none is idle now."""
+        self._counts = {offer: self._counts[offer] for offer in offers if offer in self._counts}
+
+    def given_back(self, offer: Offer, count: int) -> None:
+        counts = self._counts[offer]
+        self._counts[offer] = deque((when, max(idle - count, 0)) for when, idle in counts)
+
+
+def idle(book: Book, spare: Spare, now: timedelta, patience: timedelta) -> list[Machine]:
     """Machines to give back: nothing runs on them and nothing has for a while."""
     found = book.pool.among(MachineState.LOST)
     found += [m for m in book.pool.among(MachineState.LEAVING) if not m.live and m.notice is None]
@@ -279,21 +308,31 @@
         if now - machine.created > startup * 4 + timedelta(seconds=20):
             found.append(machine)
     specs = {run.spec.jobclass: run.spec for run in book.runs.values() if not run.over}.values()
-    longest: dict[Offer, timedelta] = {}
-    needed: dict[Offer, bool] = {}
+    empty = _empty(book)
+    spare.none_but(empty)
+    for offer, machines in empty.items():
+        kind = machines[0].kind
+        longest = patience if kind is None else _patience(kind, offer, specs, book, patience)
+        machines.sort(key=lambda machine: (now if machine.idle_since is None else machine.idle_since, machine.name))
+        most = spare.least(offer, len(machines), now, longest * SPARE_FOR)
+        back = [
+            machine
+            for place, machine in enumerate(machines)
+            if machine.idle_since is not None and (place < most or now - machine.idle_since >= longest)
+        ]
+        if back and (kind is None or not _needed(book, offer, kind, now)):
+            spare.given_back(offer, len(back))
+            found += back
+    return found
+
+
+def _empty(book: Book) -> dict[Offer, list[Machine]]:
+    """Ready machines with nothing on them and nothing booked."""
+    found: dict[Offer, list[Machine]] = {}
     for machine in book.pool.among(MachineState.READY):
-        if machine.live or machine.idle_since is None or machine.booked.cpus > 1e-6 or machine.booked.gpus > 1e-6:
-            continue
-        offer = (machine.type, machine.zone, machine.spot)
-        if offer not in longest:
-            kind = machine.kind
-            longest[offer] = patience if kind is None else _patience(kind, offer, specs, book, patience)
-        if now - machine.idle_since < longest[offer]:
+        if machine.live or machine.booked.cpus > 1e-6 or machine.booked.gpus > 1e-6:
             continue
-        if offer not in needed:
-            needed[offer] = machine.kind is not None and _needed(book, offer, machine.kind, now)
-        if not needed[offer]:
-            found.append(machine)
+        found.setdefault((machine.type, machine.zone, machine.spot), []).append(machine)
     return found
 
 
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,54 @@
+"""Which machines are given back."""
+
+from datetime import timedelta
+
+from gingerspar.coordination import fleet
+from gingerspar.coordination.pool import Offer
+from tests.tracing import Player
+
+OFFER: Offer = ("big", "a", False)
+SPAN = timedelta(seconds=7)
+LONG = timedelta(seconds=120)
+
+
+def _at(seconds: float) -> timedelta:
+    return timedelta(seconds=seconds)
+
+
+def test_what_was_never_in_use_at_once_is_spare() -> None:
+    spare = fleet.Spare()
+    assert spare.least(OFFER, 2, _at(0), SPAN) == 0  # not seen for long enough
+    assert spare.least(OFFER, 1, _at(4), SPAN) == 0
+    assert spare.least(OFFER, 3, _at(8), SPAN) == 1
+    spare.given_back(OFFER, 1)
+    assert spare.least(OFFER, 2, _at(9), SPAN) == 0
+
+
+def test_once_all_were_in_use_counting_begins_anew() -> None:
+    spare = fleet.Spare()
+    spare.least(OFFER, 2, _at(0), SPAN)
+    spare.none_but([])
+    assert spare.least(OFFER, 2, _at(8), SPAN) == 0
+
+
+def test_machines_that_take_turns_are_not_all_kept() -> None:
+    """vatuloa-grep-grown steady: over a hundred idle machines, each of them used now and then."""
+    player = Player()
+    for line in (
+        "machine m1",
+        "machine m2",
+        "at 1 report m1 seq=2",
+        "at 1 report m2 seq=2",
+        "job wk-1 array tasks=1 cpus=16 estimate=3",
+        "at 2 report m1 seq=3",
+    ):
+        player.play(line)
+    spare = fleet.Spare()
+    for second in range(2, 11):
+        player.play(f"at {second} report m2 seq={second + 2}")
+        assert fleet.idle(player.dispatcher.book, spare, player.now, LONG) == []
+    player.play("at 13 report m1 seq=4 tasks=wk-1/0@1:ended:done")
+    back = fleet.idle(player.dispatcher.book, spare, player.now, LONG)
+    assert [machine.name for machine in back] == ["m2"]
+    player.play("at 14 report m1 seq=5")
+    assert fleet.idle(player.dispatcher.book, spare, player.now, LONG) == []  # m1 has its own time
