--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-from collections import deque
 from collections.abc import Coroutine
 from datetime import timedelta
 from typing import Any
@@ -15,24 +14,19 @@
 from gingerspar.coordination.command import CommandPost
 from gingerspar.coordination.dispatcher import Dispatcher
 from gingerspar.coordination.frontdoor import FrontDoor, problem
+from gingerspar.coordination.keeper import TermKeeper
 from gingerspar.coordination.reconciler import Reconciler
+from gingerspar.coordination.relay import Relays
 from gingerspar.coordination.session import Session
-from gingerspar.coordination.term import (
-    Knowledge,
-    PeerNews,
-    TermState,
-    authority_span,
-    reason_to_raise,
-    reason_to_resign,
-)
+from gingerspar.coordination.term import PeerNews
+from gingerspar.coordination.visits import Visits
 from gingerspar.protocol import messages, names, peers
-from gingerspar.protocol.messages import KeyVersion, MachineType, Malformed, Put, Report, Steer, Transaction
+from gingerspar.protocol.messages import MachineType, Malformed, Report, Steer
 from gingerspar.protocol.settings import OperatorSettings, Settings
 from gingerspar.storage import records
-from gingerspar.storage.budgets import Urgency
-from gingerspar.storage.client import Conflict, LeaseGone, StateClient, Unavailable, Unknown
-from gingerspar.storage.records import JobRecord, TermRecord
-from gingerspar.storage.view import Phase, WatchedView
+from gingerspar.storage.client import StateClient
+from gingerspar.storage.records import JobRecord
+from gingerspar.storage.view import WatchedView
 from gingerspar.transport.clock import Clock
 from gingerspar.transport.peerlink import PeerLink
 from gingerspar.transport.server import Answer, Server
@@ -41,14 +35,10 @@
 
 HEARTBEAT = timedelta(milliseconds=400)
 COUNTS = timedelta(seconds=1)
-TERM_CHECK = timedelta(milliseconds=100)
-RECENT = timedelta(seconds=3)  # a worker's report counts as recent for so long
 CATALOG_INTERVAL = timedelta(seconds=20)
 RELAY_AFTER = timedelta(seconds=0.8)  # without a read for so long, a peer may serve users better
-RELAY_WAIT = timedelta(seconds=1.7)  # pollers wait 2 s
 LINK_SILENT = timedelta(seconds=1.5)
 REDIAL_AFTER = timedelta(seconds=2)
-MOST_DESERTERS = 4  # so many workers are enough to show that the holder doesn't answer
 
 
 class Controller:
@@ -75,25 +65,29 @@
         self._session = Session(self._node, self._client, self._view, self._clock, operator.session_ttl)
         self._claims = Claims(self._node, self._client, self._view, self._session, self._clock, teams, operator)
         self._door = FrontDoor(self._client, self._view, self._claims, self._clock, teams)
-        self._reconciler = Reconciler(self._client, self._view, self._session, self._dispatching, operator.sweep_batch)
         self._cloud = Cloud(settings.services.cloud, self._clock, facts.cloud.rps)
         self._link = PeerLink({peer.node: peer.address for peer in settings.peers}, self._hear)
+        self._relays = Relays(self._node, self._link, self._serve_user)
         self._server = Server(self._handle)
-        self._span = authority_span(facts.workers)
-        self._post: CommandPost | None = None
-        self._term_state = TermState.FOLLOWING
         self._types: list[MachineType] = []
         self._news: dict[str, PeerNews] = {}
-        self._visits: deque[tuple[timedelta, str, int]] = deque()  # when, machine, token it has seen
+        self._visits = Visits()
         self._counts: dict[str, int] = {}
-        self._started = self._clock.now()
-        self._term_seen = self._started
-        self._lonely_since: timedelta | None = None
-        self._relays = 0
-        self._relayed: dict[int, asyncio.Future[Answer]] = {}
-        self._relay_tasks: set[asyncio.Task[None]] = set()
-        self._resigned_since = self._started
-        self._own_term = 0  # the last one that this process held
+        self._keeper = TermKeeper(
+            self._node,
+            self._client,
+            self._view,
+            self._session,
+            self._clock,
+            facts,
+            self._visits,
+            self._news,
+            self._link,
+        )
+        self._keeper.use(self._peer_heard, lambda: self._types, self._make_post)
+        self._reconciler = Reconciler(
+            self._client, self._view, self._session, self._keeper.dispatching, operator.sweep_batch
+        )
         self._view.on_term.append(self._term_changed)
         self._claims.reachable = self._dispatcher_reachable
         self._claims.hand_over = self._hand_over
@@ -114,7 +108,7 @@
             self._claims.run_results(),
             self._door.run_submissions(),
             self._reconciler.run(),
-            self._keep_term(),
+            self._keeper.keep(),
             self._beat(),
             self._keep_catalog(),
         ]
@@ -130,7 +124,7 @@
         """Stops listening and speaking at once; for a node that shares its process with others."""
         self._server.stop()
         self._link.stop()
-        self._end_post()
+        self._keeper.end()
 
     async def _forever(self, loop: Coroutine[Any, Any, None]) -> None:
         """A loop that ends by an error would leave a node that only seems alive."""
@@ -153,7 +147,7 @@
         if path == names.PATH_JOBS or path.startswith(names.PATH_JOBS + "/"):
             peer = self._better_peer()
             if peer is not None:
-                return await self._relay(peer, method, path, request.body)
+                return await self._relays.ask(peer, method, path, request.body)
             return await self._serve_user(method, path, request.body)
         return problem(404, "no such path")
 
@@ -176,41 +170,13 @@
         good = [node for node, news in self._news.items() if self._peer_heard(node) and news.state_age < RELAY_AFTER]
         return min((node for node in good if self._link.up(node)), default=None)
 
-    async def _relay(self, peer: str, method: str, path: str, body: bytes) -> Answer:
-        """Asks the peer over the link; the load balancer takes seconds to steer users elsewhere."""
-        try:
-            text = body.decode()
-        except UnicodeDecodeError:
-            return problem(400, "not JSON")
-        self._relays += 1
-        number = self._relays
-        future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-        self._relayed[number] = future
-        try:
-            if not self._link.send(peer, peers.pack(peers.Relay(self._node, number, method, path, text))):
-                return problem(503, "no state service", 1)
-            return await asyncio.wait_for(future, RELAY_WAIT.total_seconds())
-        except TimeoutError:
-            return problem(503, "no state service", 1)
-        finally:
-            del self._relayed[number]
-
-    async def _serve_relay(self, relay: peers.Relay) -> None:
-        # Served here or not at all: a relayed request is never relayed again.
-        answer = await self._serve_user(relay.method, relay.path, relay.body.encode())
-        message = peers.Relayed(
-            self._node, relay.number, answer.status, answer.body.decode(), answer.headers.get("Retry-After")
-        )
-        self._link.send(relay.node, peers.pack(message))
-
     async def _report(self, request: HTTPServerRequest) -> Answer:
         try:
             report = messages.decode(Report, request.body)
         except Malformed as error:
             return problem(400, str(error))
-        now = self._clock.now()
-        self._visits.append((now, report.machine, report.token))
-        if self._post is not None and self._authority():
+        self._visits.add(report.machine, report.token, self._clock.now())
+        if self._post is not None and self._keeper.authority():
             return await self._post.report(report)
         if self._post is not None:
             return problem(503, "not entitled")
@@ -228,7 +194,7 @@
             term is not None
             and term[0].holder == holder
             and self._view.nodes.get(holder) == term[0].session
-            and self._deserters(term[0].term) == 0
+            and self._visits.deserters(term[0].term) == 0
         )
 
     def _known_holder(self) -> str | None:
@@ -242,142 +208,8 @@
 
     # -- term -----------------------------------------------------------------
 
-    def _authority(self) -> bool:
-        """May this node answer workers now?"""
-        post, term = self._post, self._view.term
-        if post is None or term is None or term[0].term != post.dispatcher.term:
-            return False
-        return self._view.age() <= self._span
-
-    def _dispatching(self) -> bool:
-        return self._post is not None and self._authority()
-
-    def _term_changed(self) -> None:
-        self._term_seen = self._clock.now()
-        term = self._view.term
-        post = self._post
-        if post is not None and term is not None and term[0].term > post.dispatcher.term:
-            self._end_post()
-        if self._post is None:
-            self._counts = {}
-
-    def _end_post(self) -> None:
-        post, self._post = self._post, None
-        if post is not None:
-            self._resigned_since = self._clock.now()
-            self._move_term(TermState.FOLLOWING)
-            post.stop()
-
-    def _move_term(self, state: TermState) -> None:
-        """The only place where this node's part in the term changes."""
-        log.info("term: %s -> %s", self._term_state.value, state.value)
-        self._term_state = state
-
-    def _recent_workers(self) -> int:
-        now = self._clock.now()
-        while self._visits and now - self._visits[0][0] > RECENT:
-            self._visits.popleft()
-        return len({machine for _, machine, _ in self._visits})
-
-    def _deserters(self, term: int) -> int:
-        """Workers that have come here although the holder of this term had them."""
-        return len({machine for _, machine, token in self._visits if token >= term})
-
-    def _term_resigned(self, record: TermRecord | None) -> bool:
-        return record is not None and record.holder == self._node and record.term == self._own_term
-
-    def _lonely(self, holder: str | None) -> timedelta | None:
-        """Since when workers have come here while the holder says that none reach it."""
-        news = self._news.get(holder) if holder is not None else None
-        if news is None or news.workers > 0 or self._recent_workers() == 0 or not self._peer_heard(holder or ""):
-            self._lonely_since = None
-        elif self._lonely_since is None:
-            self._lonely_since = self._clock.now()
-        return self._lonely_since
-
-    def _knowledge(self) -> Knowledge:
-        term = self._view.term
-        record = term[0] if term is not None else None
-        holder = record.holder if record is not None else None
-        return Knowledge(
-            now=self._clock.now(),
-            node=self._node,
-            state_age=self._view.age(),
-            session_open=self._session.claimant is not None,
-            term=record.term if record is not None else 0,
-            holder=holder,
-            holder_session_alive=record is not None and self._view.nodes.get(record.holder) == record.session,
-            holder_is_this_process=self._post is not None,
-            resigned=self._term_resigned(record),
-            resigned_since=self._resigned_since,
-            workers=self._recent_workers(),
-            deserters=self._deserters(record.term if record is not None else 0),
-            deserters_needed=max(1, min(MOST_DESERTERS, sum(len(g.names) for g, _ in self._view.roster.values()) // 8)),
-            term_seen=self._term_seen,
-            started=self._started,
-            live_nodes=list(self._view.nodes),
-            peers=self._news,
-            lonely_since=self._lonely(holder),
-            link_up=holder in self._news and holder is not None and self._link.up(holder),
-        )
-
-    async def _keep_term(self) -> None:
-        while True:
-            await asyncio.sleep(TERM_CHECK.total_seconds())
-            if self._view.phase is not Phase.FOLLOWING:
-                continue
-            knowledge = self._knowledge()
-            resigning = reason_to_resign(knowledge)
-            if resigning is not None:
-                log.info("resigning: %s", resigning)
-                self._end_post()
-                continue
-            why = reason_to_raise(knowledge)
-            if why is not None:
-                await self._raise_term(why)
-
-    async def _raise_term(self, why: str) -> None:
-        claimant = self._session.claimant
-        if claimant is None or not await self._view.barrier(timedelta(seconds=1)):
-            return
-        known = self._view.term
-        why_now = reason_to_raise(self._knowledge())
-        if why_now is None or self._session.claimant != claimant:
-            return
-        number = (known[0].term if known is not None else 0) + 1
-        record = TermRecord(number, self._node, claimant.session)
-        put = Put(records.TERM, records.pack(record))
-        condition = KeyVersion(records.TERM, known[1] if known is not None else 0)
-        self._move_term(TermState.RAISING)
-        try:
-            version = await self._client.commit(
-                Transaction([condition, self._session.condition()], [put]), Urgency.SESSION
-            )
-        except (Conflict, LeaseGone, Unavailable, Unknown) as error:
-            log.info("term %d not raised: %r", number, error)
-            self._move_term(TermState.FOLLOWING)
-            await self._view.barrier(timedelta(seconds=1))
-            return
-        log.info("term %d raised: %s", number, why)
-        raised = self._clock.now()
-        # The roster as it was when the term changed, or later: nothing is missing from it.
-        if not await self._view.barrier(timedelta(seconds=2)) or self._view.term is None:
-            self._move_term(TermState.FOLLOWING)
-            return
-        if self._view.term[1] != version:
-            self._move_term(TermState.FOLLOWING)
-            return
-        roster = self._view.rostered()
-        dispatcher = Dispatcher(
-            number,
-            raised,
-            self._facts.workers,
-            self._facts.teams,
-            objectives=self._facts.objectives,
-            today=self._clock.today,
-            roster=roster,
-        )
-        self._post = CommandPost(
+    def _make_post(self, dispatcher: Dispatcher) -> CommandPost:
+        return CommandPost(
             self._node,
             dispatcher,
             self._client,
@@ -387,13 +219,22 @@
             self._clock,
             self._facts,
             self._operator,
-            self._authority,
+            self._keeper.authority,
             self._tell_finished,
             self._ask_reclaim,
         )
-        self._own_term = number
-        self._move_term(TermState.HOLDING)
-        self._post.start(self._types)
+
+    def _term_changed(self) -> None:
+        if self._post is None:
+            self._counts = {}
+
+    @property
+    def _post(self) -> CommandPost | None:
+        """What this node commands with while it holds the term."""
+        return self._keeper.post
+
+    def _recent_workers(self) -> int:
+        return self._visits.workers(self._clock.now())
 
     # -- peers ----------------------------------------------------------------
 
@@ -433,7 +274,7 @@
                     peers.Heartbeat(
                         self._node,
                         self._view.term[0].term if self._view.term is not None else 0,
-                        self._dispatching(),
+                        self._keeper.dispatching(),
                         min(self._view.age().total_seconds(), 1e6),
                         self._recent_workers(),
                         [node for node in self._news if self._peer_heard(node)],
@@ -485,14 +326,9 @@
             case peers.Finished():
                 self._claims.finished(message.jobs)
             case peers.Relay():
-                task = asyncio.ensure_future(self._serve_relay(message))
-                self._relay_tasks.add(task)
-                task.add_done_callback(self._relay_tasks.discard)
+                self._relays.serve(message)
             case peers.Relayed():
-                future = self._relayed.get(message.number)
-                if future is not None and not future.done():
-                    headers = {} if message.retry_after is None else {"Retry-After": message.retry_after}
-                    future.set_result(Answer(message.status, message.body.encode(), headers))
+                self._relays.answered(message)
             case peers.Reclaim():
                 self._claims.reclaim(message.job, message.attempt)
 
--- /dev/null
+++ b/gingerspar/coordination/keeper.py
@@ -0,0 +1,213 @@
+"""Keeps the term: gives it up, raises it, and says whether this node may command."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+
+from gingerspar.coordination.command import CommandPost
+from gingerspar.coordination.dispatcher import Dispatcher
+from gingerspar.coordination.session import Session
+from gingerspar.coordination.term import (
+    Knowledge,
+    PeerNews,
+    TermState,
+    authority_span,
+    reason_to_raise,
+    reason_to_resign,
+)
+from gingerspar.coordination.visits import Visits
+from gingerspar.protocol.messages import KeyVersion, MachineType, Put, Transaction
+from gingerspar.protocol.settings import Facts
+from gingerspar.storage import records
+from gingerspar.storage.budgets import Urgency
+from gingerspar.storage.client import Conflict, LeaseGone, StateClient, Unavailable, Unknown
+from gingerspar.storage.records import TermRecord
+from gingerspar.storage.view import Phase, WatchedView
+from gingerspar.transport.clock import Clock
+from gingerspar.transport.peerlink import PeerLink
+
+log = logging.getLogger(__name__)
+
+TERM_CHECK = timedelta(milliseconds=100)
+MOST_DESERTERS = 4  # so many workers are enough to show that the holder doesn't answer
+
+
+class TermKeeper:
+    """Runs in every node; at most one of them holds the term."""
+
+    def __init__(
+        self,
+        node: str,
+        client: StateClient,
+        view: WatchedView,
+        session: Session,
+        clock: Clock,
+        facts: Facts,
+        visits: Visits,
+        news: dict[str, PeerNews],
+        link: PeerLink,
+    ) -> None:
+        self.post: CommandPost | None = None
+        self._node = node
+        self._client = client
+        self._view = view
+        self._session = session
+        self._clock = clock
+        self._facts = facts
+        self._visits = visits
+        self._news = news
+        self._link = link
+        self._span = authority_span(facts.workers)
+        self._state = TermState.FOLLOWING
+        self._started = clock.now()
+        self._term_seen = self._started
+        self._lonely_since: timedelta | None = None
+        self._resigned_since = self._started
+        self._own_term = 0  # the last one that this process held
+        self._heard: Callable[[str], bool] = lambda node: False
+        self._types: Callable[[], list[MachineType]] = list
+        self._make_post: Callable[[Dispatcher], CommandPost]
+        view.on_term.append(self._term_changed)
+
+    def use(
+        self,
+        heard: Callable[[str], bool],
+        types: Callable[[], list[MachineType]],
+        make_post: Callable[[Dispatcher], CommandPost],
+    ) -> None:
+        """What only the whole node can tell or make."""
+        self._heard, self._types, self._make_post = heard, types, make_post
+
+    def authority(self) -> bool:
+        """May this node answer workers now?"""
+        post, term = self.post, self._view.term
+        if post is None or term is None or term[0].term != post.dispatcher.term:
+            return False
+        return self._view.age() <= self._span
+
+    def dispatching(self) -> bool:
+        return self.post is not None and self.authority()
+
+    def _term_changed(self) -> None:
+        self._term_seen = self._clock.now()
+        term = self._view.term
+        post = self.post
+        if post is not None and term is not None and term[0].term > post.dispatcher.term:
+            self.end()
+
+    def end(self) -> None:
+        post, self.post = self.post, None
+        if post is not None:
+            self._resigned_since = self._clock.now()
+            self._move(TermState.FOLLOWING)
+            post.stop()
+
+    def _move(self, state: TermState) -> None:
+        """The only place where this node's part in the term changes."""
+        log.info("term: %s -> %s", self._state.value, state.value)
+        self._state = state
+
+    def _term_resigned(self, record: TermRecord | None) -> bool:
+        return record is not None and record.holder == self._node and record.term == self._own_term
+
+    def _lonely(self, holder: str | None) -> timedelta | None:
+        """Since when workers have come here while the holder says that none reach it."""
+        news = self._news.get(holder) if holder is not None else None
+        if (
+            news is None
+            or news.workers > 0
+            or self._visits.workers(self._clock.now()) == 0
+            or not self._heard(holder or "")
+        ):
+            self._lonely_since = None
+        elif self._lonely_since is None:
+            self._lonely_since = self._clock.now()
+        return self._lonely_since
+
+    def _knowledge(self) -> Knowledge:
+        term = self._view.term
+        record = term[0] if term is not None else None
+        holder = record.holder if record is not None else None
+        return Knowledge(
+            now=self._clock.now(),
+            node=self._node,
+            state_age=self._view.age(),
+            session_open=self._session.claimant is not None,
+            term=record.term if record is not None else 0,
+            holder=holder,
+            holder_session_alive=record is not None and self._view.nodes.get(record.holder) == record.session,
+            holder_is_this_process=self.post is not None,
+            resigned=self._term_resigned(record),
+            resigned_since=self._resigned_since,
+            workers=self._visits.workers(self._clock.now()),
+            deserters=self._visits.deserters(record.term if record is not None else 0),
+            deserters_needed=max(1, min(MOST_DESERTERS, sum(len(g.names) for g, _ in self._view.roster.values()) // 8)),
+            term_seen=self._term_seen,
+            started=self._started,
+            live_nodes=list(self._view.nodes),
+            peers=self._news,
+            lonely_since=self._lonely(holder),
+            link_up=holder in self._news and holder is not None and self._link.up(holder),
+        )
+
+    async def keep(self) -> None:
+        while True:
+            await asyncio.sleep(TERM_CHECK.total_seconds())
+            if self._view.phase is not Phase.FOLLOWING:
+                continue
+            knowledge = self._knowledge()
+            resigning = reason_to_resign(knowledge)
+            if resigning is not None:
+                log.info("resigning: %s", resigning)
+                self.end()
+                continue
+            why = reason_to_raise(knowledge)
+            if why is not None:
+                await self._raise(why)
+
+    async def _raise(self, why: str) -> None:
+        claimant = self._session.claimant
+        if claimant is None or not await self._view.barrier(timedelta(seconds=1)):
+            return
+        known = self._view.term
+        why_now = reason_to_raise(self._knowledge())
+        if why_now is None or self._session.claimant != claimant:
+            return
+        number = (known[0].term if known is not None else 0) + 1
+        record = TermRecord(number, self._node, claimant.session)
+        put = Put(records.TERM, records.pack(record))
+        condition = KeyVersion(records.TERM, known[1] if known is not None else 0)
+        self._move(TermState.RAISING)
+        try:
+            version = await self._client.commit(
+                Transaction([condition, self._session.condition()], [put]), Urgency.SESSION
+            )
+        except (Conflict, LeaseGone, Unavailable, Unknown) as error:
+            log.info("term %d not raised: %r", number, error)
+            self._move(TermState.FOLLOWING)
+            await self._view.barrier(timedelta(seconds=1))
+            return
+        log.info("term %d raised: %s", number, why)
+        raised = self._clock.now()
+        # The roster as it was when the term changed, or later: nothing is missing from it.
+        if not await self._view.barrier(timedelta(seconds=2)) or self._view.term is None:
+            self._move(TermState.FOLLOWING)
+            return
+        if self._view.term[1] != version:
+            self._move(TermState.FOLLOWING)
+            return
+        roster = self._view.rostered()
+        dispatcher = Dispatcher(
+            number,
+            raised,
+            self._facts.workers,
+            self._facts.teams,
+            objectives=self._facts.objectives,
+            today=self._clock.today,
+            roster=roster,
+        )
+        self.post = post = self._make_post(dispatcher)
+        self._own_term = number
+        self._move(TermState.HOLDING)
+        post.start(self._types())
