--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -5,8 +5,9 @@
 from typing import Any
 
 import msgspec
+import pytest
 
-from gingerspar.coordination.frontdoor import MOST_WAITING, WRITE_WAIT, FrontDoor
+from gingerspar.coordination.frontdoor import MOST_WAITING, STATE_GONE, WRITE_WAIT, FrontDoor
 from gingerspar.protocol.messages import MachineType
 from gingerspar.protocol.settings import TeamFacts
 from gingerspar.storage.view import Phase, WatchedView
@@ -47,3 +48,21 @@
 def test_the_queue_has_an_end() -> None:
     answers = asyncio.run(_crowd(1000.0, MOST_WAITING + 2))
     assert [status for status, _ in answers] == [429, 429]
+
+
+async def _while_the_state_service_is_gone(path: str) -> tuple[int, str | None, bool]:
+    door = _door(25.0)
+    door._view.read_sent -= STATE_GONE * 2
+    loop = asyncio.get_running_loop()
+    begun = loop.time()
+    if path == "submit":
+        answer = await door.submit(msgspec.json.encode(job(1)))
+    else:
+        answer = await (door.ask("wk-000001") if path == "ask" else door.cancel("wk-000001"))
+    return answer.status, answer.headers.get("Retry-After"), loop.time() - begun < 0.5
+
+
+@pytest.mark.parametrize("path", ["submit", "ask", "cancel"])
+def test_without_the_state_service_nobody_is_kept_waiting(path: str) -> None:
+    """Nor is an unknown job called unknown: the answer says when to come back."""
+    assert asyncio.run(_while_the_state_service_is_gone(path)) == (503, "1", True)
