--- a/gingerspar/coordination/fleet.py
+++ b/gingerspar/coordination/fleet.py
@@ -19,13 +19,13 @@
 MOST_RENTED_AT_ONCE = 50
 FIRST_REFUSAL = timedelta(seconds=4)
 MOST_REFUSAL = timedelta(seconds=30)
-SPARE_FOR = 0.5  # of that time, for as many as were never in use at once
 LEAST_PATIENCE = 0.1  # of the boot time, for machines that nothing here needs
+SPARE_FOR = 0.5  # of the time that a machine may idle, for as many as were never in use at once
 WARMTH = 4  # fetches of an urgent class's image that a cheap machine is kept for
 DEAR = 3.0  # times the price of a place on the cheapest machine
 FULL_ENOUGH = 0.75
 WORTH_ANY_PRICE = timedelta(seconds=20)  # work that has waited so long gets whatever there is
-FREE_STEP = timedelta(seconds=4)
+FREE_STEP = timedelta(seconds=4)  # spans are rounded up to it, so that sums are shared
 BEGUN_KEPT = 3  # machines begun but not full that are remembered for each offer
 
 
