--- a/gingerspar/storage/view.py
+++ b/gingerspar/storage/view.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from gingerspar.protocol.messages import Item, JobSpec, JobStatus
+from gingerspar.protocol.messages import Changes, Item, JobSpec, JobStatus
 from gingerspar.storage import records
 from gingerspar.storage.client import StateClient, TooOld, Unavailable, Unknown
 from gingerspar.storage.records import (
@@ -32,6 +32,8 @@
 
 KEPT_SPECS = 2000
 LONG_AGO = timedelta(days=-10000)
+READ_WAIT = timedelta(seconds=1.5)
+ASK_AGAIN = timedelta(seconds=0.3)  # a read that takes longer is sent once more
 
 
 class Phase(Enum):
@@ -135,9 +137,35 @@
             except TimeoutError:
                 return
 
+    async def _changes(self, sent: timedelta) -> tuple[Changes, timedelta]:
+        """All that is new, and when the read that brought it was sent.
+
+        A service in trouble answers some requests late or never; a second read mostly comes
+        back at once. Waiting for the first alone made a holder give up its term (inc-8b9d).
+        """
+        reads = {self._ask(): sent}
+        try:
+            done, _ = await asyncio.wait(reads, timeout=ASK_AGAIN.total_seconds())
+            if not done:
+                reads[self._ask()] = self._clock.now()
+            waiting = set(reads)
+            while True:
+                done, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+                good = [read for read in done if read.exception() is None]
+                if good or not waiting:
+                    read = (good or list(done))[0]
+                    return read.result(), reads[read]
+        finally:
+            for read in reads:
+                if not read.cancel() and not read.cancelled():
+                    read.exception()  # a failure that comes after the answer is nobody's concern
+
+    def _ask(self) -> asyncio.Task[Changes]:
+        return asyncio.ensure_future(self._client.changes(records.PREFIX, self.revision, READ_WAIT))
+
     async def _read(self, sent: timedelta) -> bool:
         try:
-            changes = await self._client.changes(records.PREFIX, self.revision, timedelta(seconds=1.5))
+            changes, sent = await self._changes(sent)
         except TooOld:
             log.info("view: too far behind, loading again")
             self.phase = Phase.LOADING
--- /dev/null
+++ b/tests/test_view.py
@@ -0,0 +1,64 @@
+"""The watched view while the state service answers some requests late or never."""
+
+import asyncio
+from datetime import timedelta
+from typing import Any
+
+import pytest
+
+from gingerspar.protocol.messages import Changes
+from gingerspar.storage.client import Unavailable
+from gingerspar.storage.view import ASK_AGAIN, Phase, WatchedView
+from gingerspar.transport.clock import Clock
+
+
+class _Client:
+    """Answers each read as told: after so many seconds, or 503 at once."""
+
+    def __init__(self, *answers: float | None) -> None:
+        self.answers = list(answers)
+        self.asked = 0
+
+    async def changes(self, prefix: str, since: int, timeout: timedelta) -> Changes:
+        answer = self.answers[self.asked]
+        self.asked += 1
+        if answer is None:
+            raise Unavailable("503")
+        await asyncio.sleep(answer)
+        return Changes(revision=7, events=[])
+
+
+async def _read(client: _Client) -> tuple[float, float, int]:
+    """When the read that counted was sent and when it was there, in seconds, and how many were sent."""
+    clock = Clock()
+    service: Any = client
+    view = WatchedView(service, clock, rps=100, nodes=3)
+    view.phase = Phase.FOLLOWING
+    begun = clock.now()
+    assert await view._read(begun)
+    assert view.revision == 7
+    return (view.read_sent - begun).total_seconds(), (clock.now() - begun).total_seconds(), client.asked
+
+
+def test_a_late_read_is_sent_again() -> None:
+    """inc-8b9d: reads that took over a second made the holder's view too old, and it gave up its term."""
+    sent, there, asked = asyncio.run(_read(_Client(30.0, 0.01)))
+    assert asked == 2
+    assert sent == pytest.approx(ASK_AGAIN.total_seconds(), abs=0.1)  # not the time of the first one
+    assert there < 1.0
+
+
+def test_the_first_read_counts_from_when_it_was_sent() -> None:
+    """Authority is counted from the sending of the read that brought the view up to date."""
+    sent, _, asked = asyncio.run(_read(_Client(ASK_AGAIN.total_seconds() + 0.1, 30.0)))
+    assert asked == 2
+    assert sent == 0.0
+
+
+def test_a_quick_read_is_sent_once() -> None:
+    assert asyncio.run(_read(_Client(0.01, 0.01)))[2] == 1
+
+
+def test_a_refusal_is_no_answer() -> None:
+    with pytest.raises(Unavailable):
+        asyncio.run(_read(_Client(None)))
