--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -9,17 +9,17 @@
 import msgspec
 from tornado.httputil import HTTPServerRequest
 
-from gingerspar.coordination.claims import Claims
-from gingerspar.coordination.cloud import Cloud, CloudTrouble, NoCapacity
-from gingerspar.coordination.command import CommandPost
-from gingerspar.coordination.dispatcher import Dispatcher
-from gingerspar.coordination.frontdoor import FrontDoor, problem
-from gingerspar.coordination.keeper import TermKeeper
-from gingerspar.coordination.reconciler import Reconciler
-from gingerspar.coordination.relay import Relays
-from gingerspar.coordination.session import Session
-from gingerspar.coordination.term import PeerNews
-from gingerspar.coordination.visits import Visits
+from gingerspar.coordination.holder.command import CommandPost
+from gingerspar.coordination.holder.dispatcher import Dispatcher
+from gingerspar.coordination.holder.keeper import TermKeeper
+from gingerspar.coordination.jobs.claims import Claims
+from gingerspar.coordination.jobs.frontdoor import FrontDoor, problem
+from gingerspar.coordination.jobs.reconciler import Reconciler
+from gingerspar.coordination.jobs.relay import Relays
+from gingerspar.coordination.machines.cloud import Cloud, CloudTrouble, NoCapacity
+from gingerspar.coordination.membership.session import Session
+from gingerspar.coordination.membership.term import PeerNews
+from gingerspar.coordination.membership.visits import Visits
 from gingerspar.protocol import messages, names, peers
 from gingerspar.protocol.messages import MachineType, Malformed, Report, Steer
 from gingerspar.protocol.settings import OperatorSettings, Settings
--- /dev/null
+++ b/gingerspar/coordination/books/__init__.py
@@ -0,0 +1,1 @@
+"""What the holder of the term knows: machines, runs and what each team uses."""
--- a/gingerspar/coordination/book.py
+++ b/gingerspar/coordination/books/book.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
-from gingerspar.coordination.estimates import Estimates
-from gingerspar.coordination.ledger import (
+from gingerspar.coordination.books.estimates import Estimates
+from gingerspar.coordination.books.ledger import (
     NOTHING,
     Machine,
     MachineState,
@@ -18,8 +18,8 @@
     Usage,
     slot_cost,
 )
-from gingerspar.coordination.pool import Pool, allows
-from gingerspar.coordination.runs import Backlog, GangState, JobRun
+from gingerspar.coordination.books.pool import Pool, allows
+from gingerspar.coordination.books.runs import Backlog, GangState, JobRun
 from gingerspar.protocol.messages import JobSpec, MachineType, Priority
 from gingerspar.protocol.settings import Objective, TeamFacts
 
--- a/gingerspar/coordination/pool.py
+++ b/gingerspar/coordination/books/pool.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from gingerspar.coordination.ledger import Machine, MachineState
+from gingerspar.coordination.books.ledger import Machine, MachineState
 from gingerspar.protocol.messages import JobSpec, MachineType
 
 Offer = tuple[str, str, bool]  # type, zone, spot
--- a/gingerspar/coordination/runs.py
+++ b/gingerspar/coordination/books/runs.py
@@ -7,7 +7,7 @@
 
 from sortedcontainers import SortedDict, SortedSet
 
-from gingerspar.coordination.ledger import NOTHING, Machine, Placement
+from gingerspar.coordination.books.ledger import NOTHING, Machine, Placement
 from gingerspar.protocol.messages import JobSpec, JobStatus, Priority, Shape
 from gingerspar.storage.records import JobRecord, Order, TaskSet
 
--- a/gingerspar/coordination/command.py
+++ b/gingerspar/coordination/holder/command.py
@@ -7,13 +7,13 @@
 from datetime import timedelta
 from typing import Any
 
-from gingerspar.coordination import fleet
-from gingerspar.coordination.cloud import Cloud, CloudTrouble, NoCapacity
-from gingerspar.coordination.dispatcher import Dispatcher, Outdated, Stale
-from gingerspar.coordination.ledger import Machine, MachineState
-from gingerspar.coordination.pool import Offer
-from gingerspar.coordination.roster import Roster
-from gingerspar.coordination.session import Session
+from gingerspar.coordination.books.ledger import Machine, MachineState
+from gingerspar.coordination.books.pool import Offer
+from gingerspar.coordination.holder.dispatcher import Dispatcher, Outdated, Stale
+from gingerspar.coordination.machines import fleet
+from gingerspar.coordination.machines.cloud import Cloud, CloudTrouble, NoCapacity
+from gingerspar.coordination.machines.roster import Roster
+from gingerspar.coordination.membership.session import Session
 from gingerspar.protocol import messages, names
 from gingerspar.protocol.messages import (
     DirectCommands,
--- a/gingerspar/coordination/dispatcher.py
+++ b/gingerspar/coordination/holder/dispatcher.py
@@ -9,11 +9,11 @@
 from collections.abc import Callable, Iterable
 from datetime import datetime, timedelta
 
-from gingerspar.coordination.book import NO_GRACE, Book
-from gingerspar.coordination.ledger import REPORTED, Machine, MachineState, Placement, TaskState
-from gingerspar.coordination.placer import Placer
-from gingerspar.coordination.runs import FIRST_BACKOFF, GangState, JobRun, recordless, stranger
-from gingerspar.coordination.term import DRIFT, settle_span
+from gingerspar.coordination.books.book import NO_GRACE, Book
+from gingerspar.coordination.books.ledger import REPORTED, Machine, MachineState, Placement, TaskState
+from gingerspar.coordination.books.runs import FIRST_BACKOFF, GangState, JobRun, recordless, stranger
+from gingerspar.coordination.membership.term import DRIFT, settle_span
+from gingerspar.coordination.placing.placer import Placer
 from gingerspar.protocol.messages import (
     Cause,
     Command,
--- a/gingerspar/coordination/keeper.py
+++ b/gingerspar/coordination/holder/keeper.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from gingerspar.coordination.command import CommandPost
-from gingerspar.coordination.dispatcher import Dispatcher
-from gingerspar.coordination.session import Session
-from gingerspar.coordination.term import (
+from gingerspar.coordination.holder.command import CommandPost
+from gingerspar.coordination.holder.dispatcher import Dispatcher
+from gingerspar.coordination.membership.session import Session
+from gingerspar.coordination.membership.term import (
     Knowledge,
     PeerNews,
     TermState,
@@ -16,7 +16,7 @@
     reason_to_raise,
     reason_to_resign,
 )
-from gingerspar.coordination.visits import Visits
+from gingerspar.coordination.membership.visits import Visits
 from gingerspar.protocol.messages import KeyVersion, MachineType, Put, Transaction
 from gingerspar.protocol.settings import Facts
 from gingerspar.storage import records
--- a/gingerspar/coordination/claims.py
+++ b/gingerspar/coordination/jobs/claims.py
@@ -15,7 +15,7 @@
 import msgspec
 from sortedcontainers import SortedDict
 
-from gingerspar.coordination.session import Session
+from gingerspar.coordination.membership.session import Session
 from gingerspar.protocol.messages import JobStatus, KeyVersion, Put, Shape, Transaction
 from gingerspar.protocol.settings import OperatorSettings, TeamFacts
 from gingerspar.storage import records
--- a/gingerspar/coordination/frontdoor.py
+++ b/gingerspar/coordination/jobs/frontdoor.py
@@ -13,7 +13,7 @@
 from datetime import timedelta
 from typing import Any
 
-from gingerspar.coordination.claims import Claims, cancelled
+from gingerspar.coordination.jobs.claims import Claims, cancelled
 from gingerspar.protocol import messages
 from gingerspar.protocol.messages import (
     JobSpec,
--- a/gingerspar/coordination/reconciler.py
+++ b/gingerspar/coordination/jobs/reconciler.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from gingerspar.coordination.claims import Change, released
-from gingerspar.coordination.session import Session
+from gingerspar.coordination.jobs.claims import Change, released
+from gingerspar.coordination.membership.session import Session
 from gingerspar.protocol.messages import JobStatus, KeyVersion, Put, Transaction
 from gingerspar.storage import records
 from gingerspar.storage.budgets import Urgency
--- a/gingerspar/coordination/relay.py
+++ b/gingerspar/coordination/jobs/relay.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
-from gingerspar.coordination.frontdoor import problem
+from gingerspar.coordination.jobs.frontdoor import problem
 from gingerspar.protocol import peers
 from gingerspar.transport.peerlink import PeerLink
 from gingerspar.transport.server import Answer
--- a/gingerspar/coordination/fleet.py
+++ b/gingerspar/coordination/machines/fleet.py
@@ -7,11 +7,11 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from gingerspar.coordination import placement as placing
-from gingerspar.coordination.book import Book
-from gingerspar.coordination.ledger import NOTHING, Machine, MachineState, Usage, fits
-from gingerspar.coordination.pool import Offer, allows
-from gingerspar.coordination.runs import JobRun
+from gingerspar.coordination.books.book import Book
+from gingerspar.coordination.books.ledger import NOTHING, Machine, MachineState, Usage, fits
+from gingerspar.coordination.books.pool import Offer, allows
+from gingerspar.coordination.books.runs import JobRun
+from gingerspar.coordination.placing import placement as placing
 from gingerspar.protocol.messages import JobSpec, MachineType, Priority
 
 log = logging.getLogger(__name__)
--- a/gingerspar/coordination/roster.py
+++ b/gingerspar/coordination/machines/roster.py
@@ -10,9 +10,9 @@
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
-from gingerspar.coordination.ledger import Machine, MachineState
-from gingerspar.coordination.pool import Offer
-from gingerspar.coordination.session import Session
+from gingerspar.coordination.books.ledger import Machine, MachineState
+from gingerspar.coordination.books.pool import Offer
+from gingerspar.coordination.membership.session import Session
 from gingerspar.protocol.messages import KeyVersion, Put, Transaction
 from gingerspar.storage import records
 from gingerspar.storage.budgets import Urgency
--- /dev/null
+++ b/gingerspar/coordination/placing/__init__.py
@@ -0,0 +1,1 @@
+"""Where tasks go, and what is stopped to make room."""
--- a/gingerspar/coordination/placer.py
+++ b/gingerspar/coordination/placing/placer.py
@@ -4,12 +4,12 @@
 from collections.abc import Sequence
 from datetime import timedelta
 
-from gingerspar.coordination import placement as placing
-from gingerspar.coordination.book import Book
-from gingerspar.coordination.ledger import Machine
-from gingerspar.coordination.pool import allows
-from gingerspar.coordination.room import RoomMaker
-from gingerspar.coordination.runs import GangState, JobRun
+from gingerspar.coordination.books.book import Book
+from gingerspar.coordination.books.ledger import Machine
+from gingerspar.coordination.books.pool import allows
+from gingerspar.coordination.books.runs import GangState, JobRun
+from gingerspar.coordination.placing import placement as placing
+from gingerspar.coordination.placing.room import RoomMaker
 from gingerspar.protocol.messages import JobSpec, Priority
 from gingerspar.storage.records import Order
 
--- a/gingerspar/coordination/room.py
+++ b/gingerspar/coordination/placing/room.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from gingerspar.coordination import placement as placing
-from gingerspar.coordination.book import NO_GRACE, Book
-from gingerspar.coordination.ledger import Machine, Placement, fits, resource_weight
-from gingerspar.coordination.pool import allows
-from gingerspar.coordination.runs import JobRun
+from gingerspar.coordination.books.book import NO_GRACE, Book
+from gingerspar.coordination.books.ledger import Machine, Placement, fits, resource_weight
+from gingerspar.coordination.books.pool import allows
+from gingerspar.coordination.books.runs import JobRun
+from gingerspar.coordination.placing import placement as placing
 
 log = logging.getLogger(__name__)
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from gingerspar.coordination.claims import Change, Claims, Held, claimed, with_results
-from gingerspar.coordination.reconciler import lapsed
+from gingerspar.coordination.jobs.claims import Change, Claims, Held, claimed, with_results
+from gingerspar.coordination.jobs.reconciler import lapsed
 from gingerspar.protocol import messages
 from gingerspar.protocol.messages import JobStatus, KeyVersion, Priority
 from gingerspar.protocol.settings import OperatorSettings, TeamFacts
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -5,9 +5,9 @@
 from types import SimpleNamespace
 from typing import Any
 
-from gingerspar.coordination.command import CommandPost
-from gingerspar.coordination.dispatcher import Dispatcher
-from gingerspar.coordination.ledger import MachineState
+from gingerspar.coordination.books.ledger import MachineState
+from gingerspar.coordination.holder.command import CommandPost
+from gingerspar.coordination.holder.dispatcher import Dispatcher
 from gingerspar.protocol.settings import OperatorSettings, WorkerFacts
 from gingerspar.transport.clock import Clock
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,8 +2,8 @@
 
 from datetime import timedelta
 
-from gingerspar.coordination import fleet
-from gingerspar.coordination.pool import Offer
+from gingerspar.coordination.books.pool import Offer
+from gingerspar.coordination.machines import fleet
 from tests.tracing import Player
 
 OFFER: Offer = ("big", "a", False)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from gingerspar.coordination import placer
-from gingerspar.coordination.dispatcher import Dispatcher
-from gingerspar.coordination.ledger import Machine, MachineState
-from gingerspar.coordination.roster import plan_groups
+from gingerspar.coordination.books.ledger import Machine, MachineState
+from gingerspar.coordination.holder.dispatcher import Dispatcher
+from gingerspar.coordination.machines.roster import plan_groups
+from gingerspar.coordination.placing import placer
 from gingerspar.protocol.messages import (
     Cause,
     JobSpec,
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gingerspar.coordination.term import (
+from gingerspar.coordination.membership.term import (
     Knowledge,
     PeerNews,
     authority_span,
--- a/tests/tracing.py
+++ b/tests/tracing.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from gingerspar.coordination import fleet
-from gingerspar.coordination.dispatcher import Dispatcher, Outdated, Stale
-from gingerspar.coordination.ledger import MachineState
+from gingerspar.coordination.books.ledger import MachineState
+from gingerspar.coordination.holder.dispatcher import Dispatcher, Outdated, Stale
+from gingerspar.coordination.machines import fleet
 from gingerspar.protocol.messages import (
     Cause,
     Command,
