--- a/gingerspar/coordination/books/book.py
+++ b/gingerspar/coordination/books/book.py
@@ -6,6 +6,7 @@
 
 import logging
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from datetime import timedelta
 
 from gingerspar.coordination.books.estimates import Estimates
@@ -17,8 +18,9 @@
     TaskState,
     Usage,
     slot_cost,
+    slots,
 )
-from gingerspar.coordination.books.pool import Pool, allows
+from gingerspar.coordination.books.pool import Offer, Pool, allows
 from gingerspar.coordination.books.runs import Backlog, GangState, JobRun
 from gingerspar.protocol.messages import JobSpec, MachineType, Priority
 from gingerspar.protocol.settings import Objective, TeamFacts
@@ -32,9 +34,21 @@
 SPENT_ON_WAITING = 0.5  # of the time to spare: a job is done with its slowest task
 START_UP = timedelta(seconds=5)  # claim, reports and what else comes before a task runs
 DEAR = 1.5
+MOST_KINDS = 2000  # of task, whose prices are remembered
 _COUNTED = (TaskState.RUNNING, TaskState.SAVING)  # shown to users as running
 
 
+@dataclass(slots=True, frozen=True)
+class Choice:
+    """A sort of machine that a job may use."""
+
+    offer: Offer
+    kind: MachineType
+    full: int  # tasks of the job that an empty one takes, at least one
+    cost: float  # of one place an hour, when it is full of them
+    dear: bool  # its places cost far more than those of another ordinary type
+
+
 class Book:
     """One term's machines, runs and use."""
 
@@ -58,9 +72,11 @@
         self.backlog = Backlog()
         self.usage: dict[str, Usage] = {team: Usage() for team in self.teams}
         self.unsaved: dict[str, JobRun] = {}  # runs with finishes that the record doesn't show yet
+        self.bookers: dict[str, set[str]] = {}  # by machine: jobs that keep room there
         self.accelerated: dict[str, JobSpec] = {}  # by class: what uses accelerators here
         self.wake: Callable[[Machine], None] = lambda machine: None
         self._cheapest: dict[tuple[object, ...], float] = {}  # ordinary place, by kind of task
+        self._choices: dict[tuple[object, ...], list[Choice]] = {}
 
     # -- machines -------------------------------------------------------------
 
@@ -83,6 +99,7 @@
     def set_types(self, types: Iterable[MachineType]) -> None:
         self.types = {kind.name: kind for kind in types}
         self._cheapest = {}
+        self._choices = {}
         for machine in self.pool:
             machine.set_kind(self.types.get(machine.type))
 
@@ -258,6 +275,8 @@
             return False
         key = (spec.cpus, spec.gpus, spec.memory_gb, spec.types)
         if key not in self._cheapest:
+            if len(self._cheapest) >= MOST_KINDS:
+                self._cheapest.clear()
             costs = [
                 slot_cost(other, False, spec)
                 for other in self.types.values()
@@ -266,12 +285,30 @@
             self._cheapest[key] = min(costs, default=0.0)
         return slot_cost(kind, False, spec) > DEAR * self._cheapest[key]
 
+    def choices(self, spec: JobSpec) -> list[Choice]:
+        """The sorts of machine that take tasks of the job, by the catalog."""
+        key = (spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot)
+        found = self._choices.get(key)
+        if found is None:
+            if len(self._choices) >= MOST_KINDS:
+                self._choices.clear()
+            found = self._choices[key] = []
+            for kind in self.types.values():
+                full = slots(kind, spec)
+                for zone in kind.zones if full else ():
+                    for spot in (True, False) if spec.spot and kind.spot_price is not None else (False,):
+                        if allows(spec, kind.name, zone, spot):
+                            cost, dear = slot_cost(kind, spot, spec), self.dear(kind, spot, spec)
+                            found.append(Choice((kind.name, zone, spot), kind, full, cost, dear))
+        return found
+
     # -- room -----------------------------------------------------------------
 
     def book(self, run: JobRun, room: dict[Machine, int], now: timedelta) -> None:
         """Keeps room for a gang until it starts."""
         for machine, count in room.items():
             machine.book(run.spec, count)
+            self.bookers.setdefault(machine.name, set()).add(run.spec.job)
         run.booked = room
         if run.booked_since is None:
             run.booked_since = now
@@ -280,6 +317,10 @@
         booked, run.booked = run.booked, {}
         for machine, count in booked.items():
             machine.book(run.spec, -count)
+            jobs = self.bookers[machine.name]
+            jobs.discard(run.spec.job)
+            if not jobs:
+                del self.bookers[machine.name]
 
     def blocked(self, run: JobRun) -> bool:
         """True while one of its open tasks may run on a machine that has not reported yet."""
--- a/gingerspar/coordination/books/ledger.py
+++ b/gingerspar/coordination/books/ledger.py
@@ -136,11 +136,17 @@
     count = 1_000_000
     if spec.cpus > 0:
         count = int(cpus / spec.cpus + 1e-9)
+        if count <= 0:
+            return 0  # mostly it is the first that is short, and this is asked very often
     if spec.gpus > 0:
-        count = min(count, int(gpus / spec.gpus + 1e-9))
+        cards = int(gpus / spec.gpus + 1e-9)
+        if cards < count:
+            count = cards
     if spec.memory_gb > 0:
-        count = min(count, int(memory_gb / spec.memory_gb + 1e-9))
-    return max(count, 0)
+        parts = int(memory_gb / spec.memory_gb + 1e-9)
+        if parts < count:
+            count = parts
+    return count if count > 0 else 0
 
 
 def slots(kind: MachineType, spec: JobSpec) -> int:
--- a/gingerspar/coordination/books/pool.py
+++ b/gingerspar/coordination/books/pool.py
@@ -7,10 +7,12 @@
 pass. All of it follows from the changes that a machine announces of itself.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 from gingerspar.coordination.books.ledger import Machine, MachineState
+from gingerspar.coordination.books.needs import Need, Needs
 from gingerspar.protocol.messages import JobSpec, MachineType
 
 Offer = tuple[str, str, bool]  # type, zone, spot
@@ -51,6 +53,8 @@
         self._room: dict[Offer, dict[Bucket, dict[str, Machine]]] = {}
         self._gained: dict[str, Machine] = {}
         self._unsettled: Unsettled | None = None
+        self._needs = Needs()
+        self._held: dict[Machine, tuple[float, float, float]] | None = None
 
     def add(self, machine: Machine) -> None:
         self.machines[machine.name] = machine
@@ -61,6 +65,7 @@
         del self.machines[machine.name]
         del self.states[self._state_of.pop(machine.name)][machine.name]
         self._unfile(machine)
+        self._needs.changed(machine)
         self._gained.pop(machine.name, None)
 
     def __iter__(self) -> Iterator[Machine]:
@@ -76,6 +81,7 @@
         name = machine.name
         if name not in self.machines:
             return
+        self._needs.changed(machine)
         before = self._state_of.get(name)
         if before is not machine.state:
             if before is not None:
@@ -95,7 +101,7 @@
             self._unfile(machine)
             self._filed[name] = place
             self._room.setdefault(place[0], {}).setdefault(place[1], {})[name] = machine
-        if gained or filed is None:
+        if (gained or filed is None) and not (self._held is not None and machine in self._held):
             self._gained[name] = machine
 
     def _unfile(self, machine: Machine) -> None:
@@ -107,8 +113,33 @@
             if not buckets[bucket]:
                 del buckets[bucket]
 
+    @contextmanager
+    def weighing(self, machines: Iterable[Machine]) -> Iterator[None]:
+        """Room on these machines is given up and mostly taken again: only what stays free is news.
+
+        A gang gives its booked room up to look whether it fits now. If each such look told
+        all that wait that the machines had gained, the looks would never end.
+        """
+        before = {machine: machine.free() for machine in machines}
+        self._held = before
+        try:
+            yield
+        finally:
+            self._held = None
+            for machine, room in before.items():
+                if any(now > then + ROUNDING for now, then in zip(machine.free(), room, strict=True)):
+                    self._gained[machine.name] = machine
+
     # -- questions ------------------------------------------------------------
 
+    def need(self, spec: JobSpec) -> Need:
+        """What the ready machines that the job allows could give to tasks like its own, up to date."""
+        need = self._needs.of(spec, self.machines.values)
+        self.looked_at += need.refresh(
+            lambda machine: machine.name in self._filed and allows(spec, machine.type, machine.zone, machine.spot)
+        )
+        return need
+
     def with_room(self, spec: JobSpec) -> list[Machine]:
         """Ready machines that the job allows and that take at least one of its tasks."""
         least_gpus, least_cpus = int(spec.gpus), int(spec.cpus)
@@ -137,8 +168,8 @@
         """How many ready machines there are of each type, zone and kind."""
         found: list[tuple[Offer, MachineType, int]] = []
         for offer, buckets in self._room.items():
-            machines = [machine for bucket in buckets.values() for machine in bucket.values()][:1]
-            for machine in machines:
+            machine = next((machine for bucket in buckets.values() for machine in bucket.values()), None)
+            if machine is not None:
                 assert machine.kind is not None
                 found.append((offer, machine.kind, sum(len(bucket) for bucket in buckets.values())))
         return found
--- a/gingerspar/coordination/books/runs.py
+++ b/gingerspar/coordination/books/runs.py
@@ -1,9 +1,11 @@
 """Unfinished jobs as the holder sees them, and the backlog of those that wait."""
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
+from typing import NamedTuple
 
 from sortedcontainers import SortedDict, SortedSet
 
@@ -15,6 +17,17 @@
 MUCH_LATER = 1e7  # seconds, more than any deadline is ahead
 
 
+Family = tuple[object, ...]  # of jobs that may use the same machines
+
+
+class Least(NamedTuple):
+    """The least of each that a task takes, over several jobs."""
+
+    cpus: float
+    gpus: float
+    memory_gb: float
+
+
 class GangState(Enum):
     IDLE = "idle"  # nothing of it on any machine
     PLACED = "placed"  # all its tasks have places
@@ -50,9 +63,12 @@
     room_sought: timedelta | None = None  # when work was last looked at that could make room
     order: Order = field(init=False)  # changes only when the job is seen to be late
     lateness: int = 0
+    family: Family = field(init=False)
 
     def __post_init__(self) -> None:
         self.order = self.record.order
+        spec = self.spec
+        self.family = (spec.types, spec.zone, spec.spot, spec.gpus > 0, self.gangs)
 
     @property
     def live(self) -> list[Placement]:
@@ -93,31 +109,63 @@
         self.unseen: SortedDict[Order, JobRun] = SortedDict()
         self.lacking_attempt: dict[str, JobRun] = {}
         self._delayed: dict[str, JobRun] = {}
+        self._families: dict[Family, dict[str, JobRun]] = {}
+        self._least: dict[Family, Least] = {}
 
     def refile(self, run: JobRun, now: timedelta, *, fresh: bool = False) -> None:
         """To be called after each change of what makes a run wait; ``fresh``: look at it anew."""
         order = run.order
         if run.waits and run.not_before is not None and run.not_before > now:
             self._delayed[run.spec.job] = run
-            self._drop(order)
+            self._drop(run)
         elif run.waits:
             if order not in self.waiting:
                 run.waiting_since = now
                 self.waiting[order] = run
+                self._join(run)
                 fresh = True
             if fresh or len(run.open) > run.seen_open:
                 self.unseen[order] = run
         else:
-            self._drop(order)
+            self._drop(run)
         if run.needs_attempt:
             self.lacking_attempt[run.spec.job] = run
         else:
             self.lacking_attempt.pop(run.spec.job, None)
             run.reclaim_asked = None
 
-    def _drop(self, order: Order) -> None:
-        self.waiting.pop(order, None)
-        self.unseen.pop(order, None)
+    def _drop(self, run: JobRun) -> None:
+        self.unseen.pop(run.order, None)
+        if self.waiting.pop(run.order, None) is None:
+            return
+        members = self._families[run.family]
+        del members[run.spec.job]
+        least = self._least.get(run.family)
+        spec = run.spec
+        if not members:
+            del self._families[run.family]
+            self._least.pop(run.family, None)
+        elif least is not None and (
+            spec.cpus <= least.cpus or spec.gpus <= least.gpus or spec.memory_gb <= least.memory_gb
+        ):
+            del self._least[run.family]  # to be worked out again
+
+    def _join(self, run: JobRun) -> None:
+        members = self._families.setdefault(run.family, {})
+        members[run.spec.job] = run
+        least = self._least.get(run.family)
+        if least is not None:
+            self._least[run.family] = _less_of(least, run.spec)
+
+    def least(self) -> list[tuple[Family, Least]]:
+        """What a task takes at the least, for each family of the jobs that wait."""
+        for family, members in self._families.items():
+            if family not in self._least:
+                least = Least(math.inf, math.inf, math.inf)
+                for run in members.values():
+                    least = _less_of(least, run.spec)
+                self._least[family] = least
+        return list(self._least.items())
 
     def due(self, now: timedelta) -> None:
         """Takes up runs whose pause is over."""
@@ -151,6 +199,10 @@
         return iter(list(self.waiting.values()))
 
 
+def _less_of(least: Least, spec: JobSpec) -> Least:
+    return Least(min(least.cpus, spec.cpus), min(least.gpus, spec.gpus), min(least.memory_gb, spec.memory_gb))
+
+
 def stranger(job: str) -> JobSpec:
     """Stands for a job that no record tells of."""
     return JobSpec(
--- a/gingerspar/coordination/machines/fleet.py
+++ b/gingerspar/coordination/machines/fleet.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from gingerspar.coordination.books.book import Book
+from gingerspar.coordination.books.book import Book, Choice
 from gingerspar.coordination.books.ledger import NOTHING, Machine, MachineState, Usage, fits
 from gingerspar.coordination.books.pool import Offer, allows
 from gingerspar.coordination.books.runs import JobRun
@@ -136,19 +136,11 @@
         return found
 
 
-def offers(spec: JobSpec, types: dict[str, MachineType]) -> list[Offer]:
-    found: list[Offer] = []
-    for kind in types.values():
-        for zone in kind.zones:
-            for spot in (True, False) if spec.spot and kind.spot_price is not None else (False,):
-                if allows(spec, kind.name, zone, spot):
-                    found.append((kind.name, zone, spot))
-    return found
-
-
 def wanted(book: Book, refusals: Refusals, now: timedelta) -> dict[Offer, int]:
     """Machines to rent for the open tasks that find no room, nor will on those that boot."""
     plan = _Plan(book, refusals, now)
+    if not plan.open:
+        return {}  # whatever waits, nothing is to be had now
     for run in book.backlog:
         if not book.blocked(run):
             plan.serve(run)
@@ -164,7 +156,14 @@
         self._types = book.types
         self._refusals = refusals
         self._now = now
-        self._coming = ComingFree(book, now)
+        self.open = {
+            (kind.name, zone, spot)
+            for kind in book.types.values()
+            for zone in kind.zones
+            for spot in ((True, False) if kind.spot_price is not None else (False,))
+            if refusals.open((kind.name, zone, spot), now)
+        }
+        self._coming: ComingFree | None = None
         self._bins: dict[Offer, Bins] = {}
         for machine in book.pool.among(MachineState.BOOTING):
             if machine.kind is not None:
@@ -179,77 +178,78 @@
     def serve(self, run: JobRun) -> None:
         spec = run.spec
         left = min(len(run.open), self._book.team_room(spec))
-        choices = offers(spec, self._types)
+        choices = self._book.choices(spec)
         if spec.one_zone and run.places:
             zone = run.live[0].machine.zone
-            choices = [offer for offer in choices if offer[1] == zone]
-        for offer in choices:
-            if left > 0 and offer in self._bins:
-                left -= self._bins[offer].put(spec, left)
+            choices = [choice for choice in choices if choice.offer[1] == zone]
+        for choice in choices:
+            if left > 0 and choice.offer in self._bins:
+                left -= self._bins[choice.offer].put(spec, left)
         if left <= 0:
             return
-        choices = [offer for offer in choices if not self._too_dear(run, offer)]
-        left = self._add(run, left, [offer for offer in choices if offer[2]])
-        dear = [offer for offer in choices if self._book.dear(self._types[offer[0]], offer[2], spec)]
+        choices = [choice for choice in choices if not self._too_dear(run, choice)]
+        left = self._add(run, left, [choice for choice in choices if choice.offer[2]])
         if not run.gangs:
             # A place that comes free is taken instead of a machine that would be up no sooner, as far
             # as the job has the time; a dear one that would be up later is not rented in any case.
             spare = self._book.slack(run, self._now)
-            left -= self._coming.put(spec, left, min(spare, self._boot(choices)))
-            left = self._add(run, left, [offer for offer in choices if offer not in dear])
-            left -= self._coming.put(spec, left, self._boot(dear))
+            left -= self._put_coming(spec, left, min(spare, _boot(choices)))
+            left = self._add(run, left, [choice for choice in choices if not choice.dear])
+            left -= self._put_coming(spec, left, _boot([choice for choice in choices if choice.dear]))
         self._add(run, left, choices)
 
-    def _add(self, run: JobRun, left: int, choices: list[Offer]) -> int:
+    def _put_coming(self, spec: JobSpec, left: int, span: timedelta) -> int:
+        if left <= 0 or span <= NOTHING:
+            return 0
+        if self._coming is None:
+            self._coming = ComingFree(self._book, self._now)
+        return self._coming.put(spec, left, span)
+
+    def _add(self, run: JobRun, left: int, choices: list[Choice]) -> int:
         """Adds machines for a run's tasks; how many find none."""
+        if not any(choice.offer in self.open for choice in choices):
+            return left
+        least = min(choice.cost for choice in choices)
         while left > 0:
-            best = self._cheapest(run, left, choices)
+            best = self._cheapest(run, left, choices, least)
             if best is None:
                 break
-            full = placing.slots(self._types[best[0]], run.spec)
-            count = min(max(left // full, 1), MOST_RENTED_AT_ONCE - self.rent.get(best, 0))
-            self.rent[best] = self.rent.get(best, 0) + count
-            log.debug("%d %s for %s %s", count, "/".join(map(str, best)), run.spec.jobclass, run.spec.job)
-            self._bin(best).add(count)
-            left -= self._bin(best).put(run.spec, left)
+            offer = best.offer
+            count = min(max(left // best.full, 1), MOST_RENTED_AT_ONCE - self.rent.get(offer, 0))
+            self.rent[offer] = self.rent.get(offer, 0) + count
+            log.debug("%d %s for %s %s", count, "/".join(map(str, offer)), run.spec.jobclass, run.spec.job)
+            self._bin(offer).add(count)
+            left -= self._bin(offer).put(run.spec, left)
         return left
 
-    def _boot(self, choices: list[Offer]) -> timedelta:
-        return min((timedelta(seconds=self._types[name].boot_s) for name, _, _ in choices), default=NOTHING)
-
-    def _too_dear(self, run: JobRun, offer: Offer) -> bool:
+    def _too_dear(self, run: JobRun, choice: Choice) -> bool:
         """A dear machine that the job doesn't need, or that would come too late for it."""
-        kind = self._types[offer[0]]
-        boot = timedelta(seconds=kind.boot_s)
-        return self._book.dear(kind, offer[2], run.spec) and self._book.can_wait(run, self._now, boot)
+        return choice.dear and self._book.can_wait(run, self._now, timedelta(seconds=choice.kind.boot_s))
 
-    def _cheapest(self, run: JobRun, left: int, choices: list[Offer]) -> Offer | None:
-        spec = run.spec
-        now = self._now
-        least = min((placing.slot_cost(self._types[name], spot, spec) for name, _, spot in choices), default=0.0)
-        patient = spec.priority.rank > Priority.HIGH.rank and not (
-            run.waiting_since is not None and now - run.waiting_since > WORTH_ANY_PRICE
+    def _cheapest(self, run: JobRun, left: int, choices: list[Choice], least: float) -> Choice | None:
+        patient = run.spec.priority.rank > Priority.HIGH.rank and not (
+            run.waiting_since is not None and self._now - run.waiting_since > WORTH_ANY_PRICE
         )
-        best: Offer | None = None
+        best: Choice | None = None
         best_cost = float("inf")
-        for offer in choices:
-            if not self._refusals.open(offer, now):
-                continue
-            kind = self._types[offer[0]]
-            full = placing.slots(kind, spec)
-            slots = min(full, left)
-            if slots <= 0:
+        for choice in choices:
+            if choice.offer not in self.open:
                 continue
-            cost = kind.cost(offer[2]) / slots
-            if patient and slots < FULL_ENOUGH * full and cost > DEAR * least:
+            slots = min(choice.full, left)
+            cost = choice.kind.cost(choice.offer[2]) / slots
+            if patient and slots < FULL_ENOUGH * choice.full and cost > DEAR * least:
                 continue  # a dear machine that would stand mostly empty: wait for places here
             if cost < best_cost:
-                best, best_cost = offer, cost
-        if best is not None and self.rent.get(best, 0) >= MOST_RENTED_AT_ONCE:
+                best, best_cost = choice, cost
+        if best is not None and self.rent.get(best.offer, 0) >= MOST_RENTED_AT_ONCE:
             return None  # there may be more of these: the next round asks, before dearer ones are taken
         return best
 
 
+def _boot(choices: list[Choice]) -> timedelta:
+    return min((timedelta(seconds=choice.kind.boot_s) for choice in choices), default=NOTHING)
+
+
 def _patience(kind: MachineType, offer: Offer, specs: Iterable[JobSpec], book: Book, most: timedelta) -> timedelta:
     """How long a machine may idle.
 
--- a/gingerspar/coordination/placing/placer.py
+++ b/gingerspar/coordination/placing/placer.py
@@ -1,13 +1,13 @@
 """The placing pass: gives places to open tasks, by priority, then earliest due."""
 
 import logging
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 from gingerspar.coordination.books.book import Book
-from gingerspar.coordination.books.ledger import Machine
-from gingerspar.coordination.books.pool import allows
-from gingerspar.coordination.books.runs import GangState, JobRun
+from gingerspar.coordination.books.ledger import Machine, fits
+from gingerspar.coordination.books.pool import ROUNDING, Offer, allows
+from gingerspar.coordination.books.runs import Family, GangState, JobRun, Least
 from gingerspar.coordination.placing import placement as placing
 from gingerspar.coordination.placing.room import RoomMaker
 from gingerspar.protocol.messages import JobSpec, Priority
@@ -26,9 +26,48 @@
     return (spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone, spec.spot)
 
 
-def _with_some_room(machines: list[Machine], least: float) -> list[Machine]:
-    """Without those that are full even for the smallest task that waits."""
-    return [machine for machine in machines if machine.free()[0] >= least or machine.booked.cpus > 0]
+class Gained:
+    """Machines that have gained room since the last pass, kept apart by type, zone and kind.
+
+    For each of these the most that any of its machines has free is known, so that a run
+    which fits nowhere among them is passed over with a look at each sort of machine.
+    """
+
+    def __init__(self, machines: Iterable[Machine]) -> None:
+        self.names: set[str] = set()
+        self._sorts: dict[Offer, list[Machine]] = {}
+        self._most: dict[Offer, tuple[float, float, float]] = {}
+        for machine in machines:
+            self.names.add(machine.name)
+            self._sorts.setdefault((machine.type, machine.zone, machine.spot), []).append(machine)
+
+    @property
+    def sorts(self) -> int:
+        return len(self._sorts)
+
+    def sum_up(self) -> None:
+        """To be called when machines may have lost room since."""
+        for offer in self._sorts:
+            self._sum_up(offer)
+
+    def _sum_up(self, offer: Offer) -> None:
+        rooms = [machine.free() for machine in self._sorts[offer]]
+        self._most[offer] = (max(r[0] for r in rooms), max(r[1] for r in rooms), max(r[2] for r in rooms))
+
+    def usable(self, spec: JobSpec) -> list[Machine]:
+        """Those with room for a task of the job."""
+        found: list[Machine] = []
+        for offer, most in self._most.items():
+            if fits(spec, *most) and allows(spec, *offer):
+                found += [machine for machine in self._sorts[offer] if machine.room_for(spec) > 0]
+        return found
+
+    def may_help(self, least: Least) -> bool:
+        """Whether any of the runs that this sums up may find room here."""
+        return any(
+            cpus + ROUNDING >= least.cpus and gpus + ROUNDING >= least.gpus and memory + ROUNDING >= least.memory_gb
+            for cpus, gpus, memory in self._most.values()
+        )
 
 
 class Placer:
@@ -40,7 +79,7 @@
     def __init__(self, book: Book) -> None:
         self._book = book
         self._room = RoomMaker(book)
-        self._gained: list[Machine] = []  # what the walk under way compares runs with
+        self._gained = Gained([])  # what the walk under way compares runs with
         self._walked: Order | None = None  # up to here
         self._looked_again = timedelta(0)
         self._found: dict[Signature, list[Machine]] = {}  # machines with room, by kind of task
@@ -55,39 +94,60 @@
                 backlog.put_back(run, book.lateness(run, now))
             backlog.look_again()
         if self._walked is None:
-            self._gained = pool.take_gained()
-        if not self._gained and not backlog.unseen:
+            self._gained = Gained(pool.take_gained())
+        gained = self._gained
+        if not gained.names and not backlog.unseen:
             return True
         self._found = {}
         until = pool.looked_at + MOST_LOOKS
-        least = min((run.spec.cpus for run in backlog.waiting.values()), default=0.0) - 1e-9
-        gained = _with_some_room(self._gained, least)
-        orders = list(backlog.waiting) if gained else list(backlog.unseen)
-        for order in orders:
+        gained.sum_up()
+        helped = self._helped(gained)
+        owners = {job for name in gained.names for job in book.bookers.get(name, ())}
+        for order in self._orders(gained, helped, owners, now):
             run = backlog.waiting.get(order)
             if run is None:
                 continue  # placed or stopped meanwhile
             unseen = order in backlog.unseen
-            if not unseen and (not gained or (self._walked is not None and order <= self._walked)):
+            if not unseen and self._walked is not None and order <= self._walked:
                 continue
             if not book.blocked(run):
                 before = len(run.open)
-                self._serve(run, None if unseen else gained, now)
+                if unseen:
+                    self._serve(run, None, now)
+                elif run.gangs or run.family in helped:
+                    self._serve(run, gained, now)
                 if len(run.open) != before:
-                    gained = _with_some_room(gained, least)
+                    gained.sum_up()
+                    helped = self._helped(gained)
             if pool.looked_at >= until:
-                self._walked = order if gained else None
+                self._walked = order if gained.names else None
                 return False
-        self._walked, self._gained = None, []
+        self._walked, self._gained = None, Gained([])
         return not pool.any_gained
 
-    def _serve(self, run: JobRun, among: Sequence[Machine] | None, now: timedelta) -> None:
+    def _helped(self, gained: Gained) -> set[Family]:
+        return {family for family, least in self._book.backlog.least() if gained.may_help(least)}
+
+    def _orders(self, gained: Gained, helped: set[Family], owners: set[str], now: timedelta) -> list[Order]:
+        """Whom the pass goes through: those not looked at yet, and those whom what was gained may help."""
+        backlog = self._book.backlog
+        if not gained.names:
+            return list(backlog.unseen)
+        return [
+            order
+            for order, run in backlog.waiting.items()
+            if order in backlog.unseen
+            or run.family in helped
+            or (run.gangs and (run.spec.job in owners or self._room.due(run, now)))
+        ]
+
+    def _serve(self, run: JobRun, among: Gained | None, now: timedelta) -> None:
         """Places what can be placed; ``among``: only these machines are new to it."""
         team_room = self._book.team_room(run.spec)
         if team_room < (run.spec.tasks if run.gangs else 1):
             return  # stays as it is: room in the team, not on machines, is what it waits for
         if run.gangs:
-            own = among is not None and any(machine in run.booked for machine in among)
+            own = among is not None and any(machine.name in among.names for machine in run.booked)
             if among is None or own or self._room.due(run, now) or self._usable(run, among):
                 self._place_gang(run, now)
                 self._book.backlog.seen(run)
@@ -100,15 +160,9 @@
 
     # -- machines for a run ---------------------------------------------------
 
-    def _usable(self, run: JobRun, machines: Sequence[Machine]) -> list[Machine]:
-        spec = run.spec
-        self._book.pool.looked_at += len(machines)
-        found = [
-            machine
-            for machine in machines
-            if machine.room_for(spec) > 0 and allows(spec, machine.type, machine.zone, machine.spot)
-        ]
-        return self._without_failures(run, found)
+    def _usable(self, run: JobRun, gained: Gained) -> list[Machine]:
+        self._book.pool.looked_at += gained.sorts
+        return self._without_failures(run, gained.usable(run.spec))
 
     def _with_room(self, run: JobRun) -> list[Machine]:
         """All machines with room for its tasks; within a pass they only lose some."""
@@ -131,6 +185,12 @@
     # -- gangs ----------------------------------------------------------------
 
     def _place_gang(self, run: JobRun, now: timedelta) -> None:
+        if not self._room.hopeless(run, now):
+            with self._book.pool.weighing(run.booked):
+                self._weigh(run, now)
+
+    def _weigh(self, run: JobRun, now: timedelta) -> None:
+        """Looks whether the gang fits now; its booked room is given up and mostly taken again."""
         spec, book = run.spec, self._book
         kept = list(run.booked)
         book.unbook(run)
@@ -140,17 +200,16 @@
             machines = machines + [m for m in kept if m.name not in there and self._ready(m, spec)]
         scorer = placing.Scorer(spec, book.types, now)
         found = placing.choose_all(spec, machines, spec.tasks, scorer)
-        if found is not None and any(self._prolongs_dear(spec, machine, now) for machine in set(found)):
-            cheap = [machine for machine in machines if not self._prolongs_dear(spec, machine, now)]
-            found = placing.choose_all(spec, cheap, spec.tasks, scorer)
-            if found is None and book.can_wait(run, now):
-                among = [m for m in book.pool.allowed(spec) if not self._prolongs_dear(spec, m, now)]
-                if self._room.make_among(run, among, now):
-                    return
-            if found is None:
-                found = placing.choose_all(spec, machines, spec.tasks, scorer)
+        dear = self._prolonging(spec, now)
+        if found is not None and any(map(dear, set(found))):
+            cheap = [machine for machine in machines if not dear(machine)]
+            cheaper = placing.choose_all(spec, cheap, spec.tasks, scorer)
+            if cheaper is not None:
+                found = cheaper
+            elif book.can_wait(run, now) and self._room.make_among(run, lambda machine: not dear(machine), now):
+                return
         if found is None:
-            self._room.make(run, machines, now)
+            self._room.make(run, now)
             return
         run.booked_since = None
         if run.record.attempt <= run.used_attempt:
@@ -176,7 +235,8 @@
         if careful:
             machines = self._beside_accelerated(spec, machines)
         if spec.priority.rank > Priority.HIGH.rank and book.can_wait(run, now):
-            machines = [machine for machine in machines if not self._prolongs_dear(spec, machine, now)]
+            dear = self._prolonging(spec, now)
+            machines = [machine for machine in machines if not dear(machine)]
         zones = placing.zone_room(spec, run.live) if spec.one_zone or spec.spread else None
         if len(run.open) < sum(machine.room_for(spec) for machine in machines):
             machines = placing.ranked(machines, placing.Scorer(spec, book.types, now))
@@ -199,12 +259,17 @@
                 break
         book.backlog.refile(run, now)
 
-    def _prolongs_dear(self, spec: JobSpec, machine: Machine, now: timedelta) -> bool:
-        """Whether a dear machine would have to stay longer for the task."""
-        kind = machine.kind
-        if kind is None or not self._book.dear(kind, machine.spot, spec):
-            return False
-        return now + self._book.estimates.run_time(spec) > placing.busy_until(machine, now)
+    def _prolonging(self, spec: JobSpec, now: timedelta) -> Callable[[Machine], bool]:
+        """Tells whether a dear machine would have to stay longer for a task of the job."""
+        ends = now + self._book.estimates.run_time(spec)
+
+        def prolongs(machine: Machine) -> bool:
+            kind = machine.kind
+            if kind is None or not self._book.dear(kind, machine.spot, spec):
+                return False
+            return ends > placing.busy_until(machine, now)
+
+        return prolongs
 
     def _beside_accelerated(self, spec: JobSpec, machines: list[Machine]) -> list[Machine]:
         """Keeps routine work from taking the processors that free accelerators need.
--- a/gingerspar/coordination/placing/room.py
+++ b/gingerspar/coordination/placing/room.py
@@ -1,11 +1,13 @@
 """Room for gangs: kept free piece by piece, and made by stopping what is less urgent."""
 
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
 from gingerspar.coordination.books.book import NO_GRACE, Book
-from gingerspar.coordination.books.ledger import Machine, Placement, fits, resource_weight
+from gingerspar.coordination.books.ledger import Machine, Placement, resource_weight
+from gingerspar.coordination.books.needs import Need
 from gingerspar.coordination.books.pool import allows
 from gingerspar.coordination.books.runs import JobRun
 from gingerspar.coordination.placing import placement as placing
@@ -19,6 +21,10 @@
 KEEP_PAUSE = timedelta(seconds=15)  # ... for so long, so that others get on
 
 
+def _any_machine(machine: Machine) -> bool:
+    return True
+
+
 @dataclass(slots=True)
 class Slot:
     """A place for one task of the gang, and what must be stopped for it."""
@@ -40,11 +46,39 @@
 
     def due(self, run: JobRun, now: timedelta) -> bool:
         """Whether the gang has waited long enough since its room was last worked out."""
-        if run.waiting_since is None or now - run.waiting_since < PREEMPT_AFTER:
+        if not self._ripe(run, now):
             return False
         return run.room_sought is None or now - run.room_sought >= SEEK_AGAIN
 
-    def make(self, run: JobRun, with_room: list[Machine], now: timedelta) -> None:
+    def hopeless(self, run: JobRun, now: timedelta) -> bool:
+        """Whether a look at the gang would change nothing, as the sums over its kind tell.
+
+        Not even stopping all that is less urgent would make it fit, and there is nothing
+        free that it doesn't keep already.
+        """
+        spec = run.spec
+        if spec.spread or run.failures:
+            return False
+        if run.booked_since is not None and now - run.booked_since > KEEP_AT_MOST:
+            return False  # what it keeps is due to be given up, or it may keep room again
+        need = self._book.pool.need(spec)
+        if need.free:
+            return False
+        own: dict[str, int] = {}
+        for machine, count in run.booked.items():
+            zone = machine.zone if spec.one_zone else ""
+            own[zone] = own.get(zone, 0) + count
+        if any(places.all + own.get(zone, 0) >= spec.tasks for zone, places in need.sums()):
+            return False
+        if run.booked_since is None and self._ripe(run, now) and self._could_fit(run):
+            run.booked_since = now  # its time to keep room has begun, though there is none yet
+        return True
+
+    @staticmethod
+    def _ripe(run: JobRun, now: timedelta) -> bool:
+        return run.waiting_since is not None and now - run.waiting_since >= PREEMPT_AFTER
+
+    def make(self, run: JobRun, now: timedelta) -> None:
         """Books room for the gang and stops work of lower priority where that helps.
 
         Stopping is worth it only if the gang then fits; what loses least goes first. If it
@@ -52,68 +86,72 @@
         that come after it don't take it away piece by piece.
         """
         spec = run.spec
-        if run.waiting_since is None or now - run.waiting_since < PREEMPT_AFTER or spec.spread:
+        if not self._ripe(run, now) or spec.spread:
             return
         if run.booked_since is not None and now - run.booked_since > KEEP_AT_MOST:
             if now - run.booked_since < KEEP_AT_MOST + KEEP_PAUSE:
                 return  # it had its time: others must not starve for it
             run.booked_since = None
         run.room_sought = now
-        slots = self._slots(run, self._book.pool.allowed(spec), now)
-        if spec.one_zone:
-            slots = _best_zone(slots, spec.tasks)
-        if len(slots) >= spec.tasks:
+        need = self._book.pool.need(spec)
+        if any(places.all >= spec.tasks for _, places in need.sums()):
+            slots = self._slots(run, need, now)
+            if spec.one_zone:
+                slots = _best_zone(slots, spec.tasks)
             self._take(run, slots[: spec.tasks], now)
         elif self._could_fit(run):
+            slots = self._slots(run, need, now) if need.free else []
+            if spec.one_zone:
+                slots = _best_zone(slots, spec.tasks)
             self._take(run, [slot for slot in slots if not slot.victims], now)
 
-    def make_among(self, run: JobRun, machines: list[Machine], now: timedelta) -> bool:
-        """Makes room on these machines, if stopping what is less urgent there is enough."""
-        if run.spec.spread:
+    def make_among(self, run: JobRun, usable: Callable[[Machine], bool], now: timedelta) -> bool:
+        """Makes room on such machines, if stopping what is less urgent there is enough."""
+        spec = run.spec
+        if spec.spread:
+            return False
+        need = self._book.pool.need(spec)
+        if not any(places.all >= spec.tasks for _, places in need.sums()):
             return False
-        slots = self._slots(run, machines, now)
-        if run.spec.one_zone:
-            slots = _best_zone(slots, run.spec.tasks)
-        if len(slots) < run.spec.tasks:
+        slots = self._slots(run, need, now, usable)
+        if spec.one_zone:
+            slots = _best_zone(slots, spec.tasks)
+        if len(slots) < spec.tasks:
             return False
         run.room_sought = now
-        self._take(run, slots[: run.spec.tasks], now)
+        self._take(run, slots[: spec.tasks], now)
         return True
 
-    def _slots(self, run: JobRun, machines: list[Machine], now: timedelta) -> list[Slot]:
+    def _slots(
+        self, run: JobRun, need: Need, now: timedelta, usable: Callable[[Machine], bool] = _any_machine
+    ) -> list[Slot]:
         """Places for the gang's tasks, those for which least is lost first.
 
         Only the machines that promise the least loss for each place are gone through task
-        by task; what clearing a machine would cost is summed up with each change of it.
+        by task.
         """
         spec = run.spec
+        pool = self._book.pool
+        pool.looked_at += len(need.free)
         slots: list[Slot] = []
-        promising: list[tuple[float, str, Machine]] = []
-        for machine in machines:
-            free = machine.room_for(spec)
-            if free:
-                slots += [Slot(0.0, machine, [])] * min(free, spec.tasks)
-            if not machine.live:
-                continue
-            cpus, gpus, memory = machine.free()
-            lost = 0.0
-            for weight in machine.look_ahead().weights[spec.priority.rank + 1 :]:
-                cpus, gpus, memory = cpus + weight.cpus, gpus + weight.gpus, memory + weight.memory_gb
-                lost += weight.lost(now)
-            more = fits(spec, cpus, gpus, memory) - free
-            if more > 0:
-                promising.append((lost / more, machine.name, machine))
-        slots.sort(key=lambda slot: slot.rank)
+        for machine in sorted(filter(usable, need.free.values()), key=lambda machine: machine.name):
+            slots += [Slot(0.0, machine, [])] * min(machine.room_for(spec), spec.tasks)
         if len(slots) < spec.tasks or spec.one_zone:
-            promising.sort(key=lambda entry: entry[:2])
             stopping: list[Slot] = []
             counts: dict[str, int] = {}
-            for _, _, machine in promising:
+            zones = set(need.zones) if spec.one_zone else {""}
+            for machine in need.by_loss(now):
                 zone = machine.zone if spec.one_zone else ""
-                if counts.get(zone, 0) < LOOKED_THROUGH * spec.tasks:
-                    found = [slot for slot in self._by_stopping(run, machine, now) if slot.victims]
-                    counts[zone] = counts.get(zone, 0) + len(found)
-                    stopping += found
+                if zone not in zones or not usable(machine):
+                    continue
+                pool.looked_at += 1
+                found = [slot for slot in self._by_stopping(run, machine, now) if slot.victims]
+                counts[zone] = counts.get(zone, 0) + len(found)
+                stopping += found
+                if counts[zone] >= LOOKED_THROUGH * spec.tasks:
+                    zones.discard(zone)
+                    if not zones:
+                        break
             stopping.sort(key=lambda slot: slot.rank)
             slots += stopping
         return slots
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -36,27 +36,35 @@
 class Fleet:
     """A holder with several hundred machines that are up."""
 
-    def __init__(self) -> None:
+    def __init__(self, machines: int = MACHINES) -> None:
+        self.now = NOW
         workers = WorkerFacts(report_s=2.5, lease_s=18, cancel_s=43)
         self.dispatcher = Dispatcher(1, timedelta(0), workers, [TeamFacts("red")])
         self.dispatcher.set_types([MachineType("box", 16, 64, cache_gb=60, zones=("a",), price=1.0, boot_s=20)])
         self.seqs: dict[str, int] = {}
-        for number in range(MACHINES):
+        for number in range(machines):
             name = f"n-{number:06d}"
             self.dispatcher.report(_report(name, 1, []), NOW)
             self.dispatcher.machines[name].enlist()
             self.seqs[name] = 1
 
-    def job(self, number: int, tasks: int, shape: Shape = Shape.ARRAY, cpus: float = 4.0) -> None:
-        spec = JobSpec(f"wk-{number:06d}", "c", "red", shape, Priority.NORMAL, tasks, cpus, 8.0, estimate_s=60.0)
+    def job(
+        self,
+        number: int,
+        tasks: int,
+        shape: Shape = Shape.ARRAY,
+        cpus: float = 4.0,
+        priority: Priority = Priority.NORMAL,
+    ) -> None:
+        spec = JobSpec(f"wk-{number:06d}", "c", "red", shape, priority, tasks, cpus, 8.0, estimate_s=60.0)
         record = JobRecord(spec, JobStatus.RUNNING, 1, Claimant("n1", 1), float(number), 1, 1)
-        self.dispatcher.set_record(spec.job, record, TaskSet(tasks), NOW)
+        self.dispatcher.set_record(spec.job, record, TaskSet(tasks), self.now)
 
     def place(self) -> int:
         """Machines looked at until everything has been looked at."""
         before = self.dispatcher.pool.looked_at
         for _ in range(1000):
-            self.dispatcher.place(NOW)
+            self.dispatcher.place(self.now)
             if not self.dispatcher.dirty:
                 break
         return self.dispatcher.pool.looked_at - before
@@ -64,7 +72,7 @@
     def answer(self, machine: Machine, tasks: list[TaskReport]) -> None:
         self.seqs[machine.name] += 1
         report = _report(machine.name, self.seqs[machine.name], tasks)
-        self.dispatcher.commands(self.dispatcher.report(report, NOW), report, NOW)
+        self.dispatcher.commands(self.dispatcher.report(report, self.now), report, self.now)
 
     def end_one(self, machine: Machine) -> None:
         """The machine reports that the first of its tasks is done."""
@@ -100,10 +108,45 @@
     fleet.place()
     for number in range(2, 102):
         fleet.job(number, 3, Shape.GANG)
-    assert fleet.place() <= 10 + 100 * 2
+    # All machines once, when the kind of task is seen for the first time; then none for each gang.
+    assert fleet.place() <= MACHINES + 2 * 100
     assert all(not fleet.dispatcher.runs[f"wk-{number:06d}"].places for number in range(2, 102))
 
 
+def _looks(machines: int, gangs: int, arrays: int, seconds: int = 6) -> int:
+    """Looks of some seconds in which urgent gangs and routine arrays wait on a full fleet.
+
+    Every half second one urgent task ends. The gangs don't fit even if all that is less
+    urgent were stopped, so each of them keeps asking for room.
+    """
+    fleet = Fleet(machines)
+    fleet.job(1, machines * PER_MACHINE, priority=Priority.HIGH)
+    fleet.place()
+    for number in range(2, 2 + gangs):
+        fleet.job(number, 12, Shape.GANG, cpus=16.0, priority=Priority.HIGH)
+    for number in range(2 + gangs, 2 + gangs + arrays):
+        fleet.job(number, 20, cpus=4.0 + number % 7 / 10)
+    looks = 0
+    for step in range(seconds * 10):
+        fleet.now += timedelta(seconds=0.1)
+        if step % 5 == 0:
+            fleet.end_one(fleet.dispatcher.machines[f"n-{step % machines:06d}"])
+        fleet.dispatcher.dirty = True
+        looks += fleet.place()
+    assert sum(bool(run.places) for run in fleet.dispatcher.runs.values()) <= 1 + seconds * 2
+    return looks
+
+
+def test_looks_do_not_grow_with_gangs_times_machines() -> None:
+    """Fleet deployments, before: each waiting gang went through every machine once a second."""
+    base = _looks(150, 75, 60)
+    first = 600 - 150  # each machine is looked at once when a kind of task is seen for the first time
+    assert _looks(600, 75, 60) <= base + first + 50
+    assert _looks(150, 300, 60) <= base * 2
+    assert _looks(150, 75, 240) <= base * 2
+    assert _looks(600, 300, 240) <= base * 2 + first + 50
+
+
 def test_a_long_pass_stops_and_goes_on_in_order() -> None:
     fleet = Fleet()
     jobs = 3 * placer.MOST_LOOKS // MACHINES
