--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -12,6 +12,7 @@
 from gingerspar.coordination.holder.command import CommandPost
 from gingerspar.coordination.holder.dispatcher import Dispatcher
 from gingerspar.coordination.holder.keeper import TermKeeper
+from gingerspar.coordination.holder.strain import Strain
 from gingerspar.coordination.jobs.claims import Claims
 from gingerspar.coordination.jobs.frontdoor import FrontDoor, problem
 from gingerspar.coordination.jobs.reconciler import Reconciler
@@ -69,6 +70,7 @@
         self._link = PeerLink({peer.node: peer.address for peer in settings.peers}, self._hear)
         self._relays = Relays(self._node, self._link, self._serve_user)
         self._server = Server(self._handle)
+        self._strain = Strain(self._clock)
         self._types: list[MachineType] = []
         self._news: dict[str, PeerNews] = {}
         self._visits = Visits()
@@ -111,6 +113,7 @@
             self._keeper.keep(),
             self._beat(),
             self._keep_catalog(),
+            self._strain.run(),
         ]
         tasks = self._link.start(int(peer_port), peer_host)
         tasks += [asyncio.ensure_future(self._forever(loop)) for loop in loops]
@@ -222,6 +225,7 @@
             self._keeper.authority,
             self._tell_finished,
             self._ask_reclaim,
+            self._strain,
         )
 
     def _term_changed(self) -> None:
--- a/gingerspar/coordination/holder/command.py
+++ b/gingerspar/coordination/holder/command.py
@@ -10,8 +10,9 @@
 from gingerspar.coordination.books.ledger import Machine, MachineState
 from gingerspar.coordination.books.pool import Offer
 from gingerspar.coordination.holder.dispatcher import Dispatcher, Outdated, Stale
+from gingerspar.coordination.holder.strain import DECIDING, PLANNING, Strain
 from gingerspar.coordination.machines import fleet
-from gingerspar.coordination.machines.cloud import Cloud, CloudTrouble, NoCapacity
+from gingerspar.coordination.machines.cloud import Cloud, CloudTrouble, NoCapacity, NotEntitled
 from gingerspar.coordination.machines.roster import Roster
 from gingerspar.coordination.membership.session import Session
 from gingerspar.protocol import messages, names
@@ -67,6 +68,7 @@
         authority: Callable[[], bool],
         tell_finished: Callable[[str, dict[str, list[int]]], None],
         ask_reclaim: Callable[[str, str, int], None],
+        strain: Strain,
     ) -> None:
         self.dispatcher = dispatcher
         self._node = node
@@ -80,6 +82,7 @@
         self._authority = authority
         self._tell_finished = tell_finished
         self._ask_reclaim = ask_reclaim
+        self._strain = strain
         self._holds: dict[str, asyncio.Future[None]] = {}
         self._woken: set[str] = set()  # machines that commands wait for
         self._work = asyncio.Event()
@@ -214,7 +217,8 @@
             if self.dispatcher.dirty:
                 self._work.set()  # the pass was stopped to let others have their turn
             # A pass that took long is followed by a longer pause: reports and reads come first.
-            await asyncio.sleep(max(PASS_PAUSE, self._clock.now() - now).total_seconds())
+            pause = self._strain.pause_after(self._clock.now() - now, DECIDING, PASS_PAUSE)
+            await asyncio.sleep(pause.total_seconds())
 
     def _stop_directly(self) -> None:
         stopping = self.dispatcher.stopping
@@ -234,7 +238,9 @@
     async def _send_directly(self, address: str, body: bytes) -> None:
         client = Client(address, connect_timeout=timedelta(seconds=1))
         try:
-            await client.request("POST", names.PATH_COMMANDS, body, timeout=timedelta(seconds=2))
+            await client.request(
+                "POST", names.PATH_COMMANDS, body, timeout=timedelta(seconds=2), permit=self._authority
+            )
         except (Unanswered, ValueError) as error:
             log.debug("direct stop: %s", error)
         finally:
@@ -277,8 +283,9 @@
         return self._authority() and self._view.age() <= ORDER_FRESH
 
     async def _run_fleet(self) -> None:
+        pause = FLEET_INTERVAL
         while True:
-            await asyncio.sleep(FLEET_INTERVAL.total_seconds())
+            await asyncio.sleep(pause.total_seconds())
             now = self._clock.now()
             if not self._may_order() or not self.dispatcher.book.types:
                 continue
@@ -294,6 +301,7 @@
                     self._spawn(self._give_back(back))
             except Exception:
                 log.exception("fleet planning failed")
+            pause = self._strain.pause_after(self._clock.now() - now, PLANNING, FLEET_INTERVAL)
 
     async def _rent(self, offer: Offer, count: int) -> None:
         self._rentals += 1
@@ -305,7 +313,7 @@
                 if not self._may_order():
                     return
                 try:
-                    hosts = await self._cloud.rent(request)
+                    hosts = await self._cloud.rent(request, self._may_order)
                     break
                 except CloudTrouble as error:
                     log.info("rental %s: %s", request.request, error)
@@ -321,6 +329,8 @@
                 self._refusals.refused(offer, now)
             else:
                 self._refusals.granted(offer)
+        except NotEntitled:
+            log.info("rental %s not sent: the state service was not read just now", request.request)
         except NoCapacity:
             log.info("no capacity: %s in %s, spot=%s", type_name, zone, spot)
             self._refusals.refused(offer, self._clock.now())
@@ -335,8 +345,10 @@
                 await asyncio.sleep(0.5)
                 continue
             try:
-                await self._cloud.give_back(hosts)
+                await self._cloud.give_back(hosts, self._may_order)
                 break
+            except NotEntitled:
+                continue
             except (CloudTrouble, NoCapacity) as error:
                 log.info("return: %s", error)
                 await asyncio.sleep(1)
--- a/gingerspar/coordination/machines/cloud.py
+++ b/gingerspar/coordination/machines/cloud.py
@@ -1,12 +1,13 @@
 """The cloud's interface, within this node's share of its rate."""
 
+from collections.abc import Callable
 from datetime import timedelta
 from urllib.parse import quote
 
 from gingerspar.protocol import messages, names
 from gingerspar.protocol.messages import ListedMachine, MachineType
 from gingerspar.storage.budgets import Budget, Urgency
-from gingerspar.transport.client import Client, Unanswered
+from gingerspar.transport.client import Client, NotSent, Unanswered
 from gingerspar.transport.clock import Clock
 
 
@@ -14,6 +15,10 @@
     """No usable answer; a rental may have been carried out all the same."""
 
 
+class NotEntitled(Exception):
+    """The order was not sent: whoever gave it may not any more."""
+
+
 class NoCapacity(Exception):
     """None of these machines is to be had now."""
 
@@ -27,10 +32,21 @@
         self._client = Client(address, connect_timeout=timedelta(seconds=3))
         self._budget = Budget(clock, rps * self.SHARE, max(1.0, rps * self.SHARE))
 
-    async def _call(self, method: str, path: str, body: bytes | None = None, urgent: bool = False) -> bytes:
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        urgent: bool = False,
+        permit: Callable[[], bool] | None = None,
+    ) -> bytes:
         await self._budget.take(1, Urgency.USER if urgent else Urgency.BACKGROUND)
         try:
-            status, answer = await self._client.request(method, path, body, timeout=timedelta(seconds=8))
+            status, answer = await self._client.request(method, path, body, timeout=timedelta(seconds=8), permit=permit)
+        except NotSent as error:
+            if permit is not None and not permit():
+                raise NotEntitled from error
+            raise CloudTrouble(str(error)) from error
         except Unanswered as error:
             raise CloudTrouble(str(error)) from error
         if status == 200:
@@ -44,12 +60,14 @@
     async def catalog(self) -> list[MachineType]:
         return messages.decode(messages.Catalog, await self._call("GET", names.PATH_CATALOG)).types
 
-    async def rent(self, request: messages.RentRequest) -> list[str]:
-        answer = await self._call("POST", names.PATH_MACHINES, messages.encode(request), urgent=True)
+    async def rent(self, request: messages.RentRequest, permit: Callable[[], bool]) -> list[str]:
+        """``permit`` is asked once the request's turn has come, which may be seconds later."""
+        answer = await self._call("POST", names.PATH_MACHINES, messages.encode(request), urgent=True, permit=permit)
         return messages.decode(messages.MachineNames, answer).machines
 
-    async def give_back(self, machines: list[str]) -> None:
-        await self._call("POST", names.PATH_RETURN, messages.encode(messages.MachineNames(machines)))
+    async def give_back(self, machines: list[str], permit: Callable[[], bool]) -> None:
+        body = messages.encode(messages.MachineNames(machines))
+        await self._call("POST", names.PATH_RETURN, body, permit=permit)
 
     async def machines(self) -> list[ListedMachine]:
         found: list[ListedMachine] = []
--- a/gingerspar/transport/client.py
+++ b/gingerspar/transport/client.py
@@ -8,6 +8,7 @@
 import asyncio
 import socket
 from collections import deque
+from collections.abc import Callable
 from datetime import timedelta
 
 from tornado import http1connection, httputil, iostream
@@ -61,15 +62,28 @@
         return stream, http1connection.HTTP1Connection(stream, True, self._params)
 
     async def request(
-        self, method: str, path: str, body: bytes | None = None, *, timeout: timedelta = timedelta(seconds=3)
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        *,
+        timeout: timedelta = timedelta(seconds=3),
+        permit: Callable[[], bool] | None = None,
     ) -> tuple[int, bytes]:
-        """Status and body of the answer, or ``Unanswered``."""
+        """Status and body of the answer, or ``Unanswered``.
+
+        ``permit`` is asked at the last moment before the request leaves; if it says no,
+        ``NotSent`` is raised.
+        """
         while self._kept:
             stream, connection = self._kept.pop()
             if not stream.closed():
                 break
         else:
             stream, connection = await self._open()
+        if permit is not None and not permit():
+            self._kept.append((stream, connection))
+            raise NotSent(f"{self._address}: not entitled any more")
         reply = _Reply()
         clean = False
         try:
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -1,15 +1,22 @@
 """The term holder's dealings with the cloud while it may be cut off."""
 
 import asyncio
+from collections.abc import Callable
 from datetime import timedelta
 from types import SimpleNamespace
 from typing import Any
 
+from tornado.httputil import HTTPServerRequest
+
 from gingerspar.coordination.books.ledger import MachineState
 from gingerspar.coordination.holder.command import CommandPost
 from gingerspar.coordination.holder.dispatcher import Dispatcher
+from gingerspar.coordination.holder.strain import Strain, StrainState
+from gingerspar.coordination.machines.cloud import Cloud, NotEntitled
+from gingerspar.protocol.messages import RentRequest
 from gingerspar.protocol.settings import OperatorSettings, WorkerFacts
 from gingerspar.transport.clock import Clock
+from gingerspar.transport.server import Answer, Server
 
 
 class _Cloud:
@@ -17,10 +24,12 @@
         self.returned: list[str] = []
         self.rented = 0
 
-    async def give_back(self, machines: list[str]) -> None:
+    async def give_back(self, machines: list[str], permit: Callable[[], bool]) -> None:
+        assert permit()
         self.returned += machines
 
-    async def rent(self, request: Any) -> list[str]:
+    async def rent(self, request: Any, permit: Callable[[], bool]) -> list[str]:
+        assert permit()
         self.rented += 1
         return ["n-2"]
 
@@ -37,7 +46,7 @@
     facts: Any = SimpleNamespace()
     post = CommandPost(
         "n1", dispatcher, rest, view, rest, cloud, Clock(), facts, OperatorSettings(),  # type: ignore[arg-type]
-        lambda: True, lambda node, jobs: None, lambda node, job, attempt: None,
+        lambda: True, lambda node, jobs: None, lambda node, job, attempt: None, Strain(Clock()),
     )  # fmt: skip
     returning = asyncio.ensure_future(post._give_back([machine]))
     await post._rent(("big", "a", False), 1)
@@ -56,3 +65,71 @@
 def test_a_holder_with_fresh_state_orders() -> None:
     cloud = asyncio.run(_orders([timedelta(seconds=0.1)]))
     assert (cloud.returned, cloud.rented) == (["n-1"], 1)
+
+
+async def _order_after_standing_still() -> int:
+    """An order waits for its turn at the cloud while its sender loses the right to give it."""
+    asked: list[str] = []
+
+    async def answer(request: HTTPServerRequest) -> Answer:
+        asked.append(request.path)
+        return Answer(200, b'{"Hosts":["n-2"]}')
+
+    server = Server(answer)
+    server.listen(18931, "127.0.0.1")
+    try:
+        cloud = Cloud("127.0.0.1:18931", Clock(), rps=20.0)
+        cloud._budget.drain(timedelta(seconds=0.1))
+        entitled = [True]
+        order = asyncio.ensure_future(cloud.rent(RentRequest("t1-1", "big", "a", False, 1), lambda: entitled[0]))
+        await asyncio.sleep(0.02)
+        entitled[0] = False  # it stood still, and when it goes on another node holds the term
+        try:
+            await order
+        except NotEntitled:
+            pass
+        else:
+            raise AssertionError("the order was given")
+        entitled[0] = True
+        assert await cloud.rent(RentRequest("t1-2", "big", "a", False, 1), lambda: entitled[0]) == ["n-2"]
+    finally:
+        server.stop()
+        await asyncio.sleep(0)
+    return len(asked)
+
+
+def test_an_order_is_checked_when_it_leaves() -> None:
+    """A controller that stands still between its decision and the sending must not order any more."""
+    assert asyncio.run(_order_after_standing_still()) == 1
+
+
+def test_overload_is_entered_and_left_once() -> None:
+    strain = Strain(Clock())
+    now = timedelta(0)
+    seen = [strain.state]
+    for late_ms in [5] * 20 + [300] * 20 + [60] * 20 + [5] * 60:
+        now += timedelta(seconds=0.1)
+        strain.pulse(timedelta(milliseconds=late_ms), now)
+        if strain.state is not seen[-1]:
+            seen.append(strain.state)
+    assert seen == [StrainState.EASY, StrainState.OVERLOADED, StrainState.EASY]
+
+
+def test_standing_still_once_is_no_overload() -> None:
+    """Its clocks ran on for 24 s; afterwards it has as much of its processor as before."""
+    strain = Strain(Clock())
+    strain.pulse(timedelta(seconds=24), timedelta(seconds=24))
+    assert strain.state is StrainState.EASY
+    for step in range(1, 20):
+        strain.pulse(timedelta(0), timedelta(seconds=24 + 0.1 * step))
+    assert strain.lateness < timedelta(milliseconds=10)
+
+
+def test_deciding_takes_a_smaller_share_under_overload() -> None:
+    strain = Strain(Clock())
+    spent, least = timedelta(milliseconds=30), timedelta(milliseconds=20)
+    easy = strain.pause_after(spent, {StrainState.EASY: 0.5, StrainState.OVERLOADED: 0.25}, least)
+    strain.state = StrainState.OVERLOADED
+    hard = strain.pause_after(spent, {StrainState.EASY: 0.5, StrainState.OVERLOADED: 0.25}, least)
+    assert (easy, hard) == (spent, spent * 3)
+    assert strain.pause_after(timedelta(0), {StrainState.EASY: 0.5, StrainState.OVERLOADED: 0.25}, least) == least
