--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -12,6 +12,7 @@
     reason_to_resign,
     settle_span,
 )
+from gingerspar.coordination.membership.visits import Visits
 from gingerspar.protocol.settings import WorkerFacts
 
 NOW = timedelta(seconds=100)
@@ -117,3 +118,12 @@
     assert reason_to_resign(knowledge(**here, peers={"n1": cut_off_too}, state_age=s(9))) is None
     assert reason_to_resign(knowledge(**here, peers={"n1": peer}, state_age=s(3))) is not None
     assert reason_to_resign(knowledge(**here, peers={"n1": successor})) is not None
+
+
+def test_a_worker_counts_once_with_the_last_token_it_had_seen() -> None:
+    visits = Visits()
+    for second, machine, token in [(0, "m1", 3), (1, "m2", 4), (2, "m1", 4), (2, "m3", 3)]:
+        visits.add(machine, token, timedelta(seconds=second))
+    assert (visits.workers(timedelta(seconds=2)), visits.deserters(4)) == (3, 2)
+    assert (visits.workers(timedelta(seconds=4.5)), visits.deserters(4)) == (2, 1)
+    assert (visits.workers(timedelta(seconds=9)), visits.deserters(0)) == (0, 0)
