--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -68,8 +68,8 @@
         self._cloud = Cloud(settings.services.cloud, self._clock, facts.cloud.rps)
         self._link = PeerLink({peer.node: peer.address for peer in settings.peers}, self._hear)
         self._relays = Relays(self._node, self._link, self._serve_user)
-        self._server = Server(self._handle)
         self._strain = Strain(self._clock)
+        self._server = Server(self._handle)
         self._types: list[MachineType] = []
         self._news: dict[str, PeerNews] = {}
         self._visits = Visits()
@@ -84,6 +84,7 @@
             self._visits,
             self._news,
             self._link,
+            self._strain,
         )
         self._keeper.use(self._peer_heard, lambda: self._types, self._make_post)
         self._reconciler = Reconciler(
@@ -112,7 +113,6 @@
             self._keeper.keep(),
             self._beat(),
             self._keep_catalog(),
-            self._strain.run(),
         ]
         tasks = self._link.start(int(peer_port), peer_host)
         tasks += [asyncio.ensure_future(self._forever(loop)) for loop in loops]
--- a/gingerspar/coordination/books/book.py
+++ b/gingerspar/coordination/books/book.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from gingerspar.coordination.books.ends import Ends
 from gingerspar.coordination.books.estimates import Estimates
 from gingerspar.coordination.books.ledger import (
     NOTHING,
@@ -72,6 +73,7 @@
         self.backlog = Backlog()
         self.usage: dict[str, Usage] = {team: Usage() for team in self.teams}
         self.unsaved: dict[str, JobRun] = {}  # runs with finishes that the record doesn't show yet
+        self.ends = Ends()
         self.bookers: dict[str, set[str]] = {}  # by machine: jobs that keep room there
         self.accelerated: dict[str, JobSpec] = {}  # by class: what uses accelerators here
         self.wake: Callable[[Machine], None] = lambda machine: None
@@ -118,7 +120,10 @@
     def move(self, placement: Placement, state: TaskState, now: timedelta) -> None:
         """A task's state changes; the job's count of running tasks follows."""
         before = placement.state in _COUNTED
+        ran = placement.running_since is not None
         placement.move(state, now)
+        if not ran and placement.running_since is not None:
+            self.ends.started(placement)
         run = self.runs.get(placement.job)
         if run is not None:
             run.running += (placement.state in _COUNTED) - before
@@ -135,10 +140,14 @@
         run.places.setdefault(placement.number, []).append(placement)
         run.open.discard(placement.number)
         run.running += placement.state in _COUNTED
+        if placement.running_since is not None:
+            self.ends.started(placement)
         self.usage.setdefault(placement.spec.team, Usage()).add(placement.spec)
 
     def _leave(self, placement: Placement) -> JobRun:
         """Takes an ended placement off the books."""
+        if placement.running_since is not None:
+            self.ends.left(placement)
         run = self.runs[placement.job]
         places = run.places[placement.number]
         places.remove(placement)
--- a/gingerspar/coordination/holder/command.py
+++ b/gingerspar/coordination/holder/command.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 from typing import Any
 
-from gingerspar.coordination.books.ledger import Machine, MachineState
+from gingerspar.coordination.books.ledger import Machine, MachineState, Placement, TaskState
 from gingerspar.coordination.books.pool import Offer
 from gingerspar.coordination.holder.dispatcher import Dispatcher, Outdated, Stale
 from gingerspar.coordination.holder.strain import DECIDING, PLANNING, Strain
@@ -19,9 +19,11 @@
     DirectCommands,
     MachineStatus,
     MachineType,
+    Priority,
     RentRequest,
     Report,
     ReportAnswer,
+    Shape,
 )
 from gingerspar.protocol.settings import Facts, OperatorSettings
 from gingerspar.storage.client import StateClient
@@ -39,11 +41,12 @@
 FLEET_INTERVAL = timedelta(seconds=1)
 ORDER_FRESH = timedelta(seconds=1)
 TICK = timedelta(milliseconds=250)
-PASS_PAUSE = timedelta(milliseconds=20)  # between two placing passes
+PASS_PAUSE = timedelta(milliseconds=40)  # between two placing passes: what comes together is looked at together
 SUMMARY = timedelta(seconds=5)
 RETIRED_FOR = timedelta(minutes=2)  # far longer than the machine list lags
 HOLD_IDLE = timedelta(seconds=2)  # workers give an answer up after 4 s
 HOLD_BUSY = timedelta(milliseconds=200)  # a worker with tasks has news of its own to tell
+HOLD_ROUTINE = timedelta(milliseconds=800)  # ... that can wait a little: ends of routine tasks
 
 
 def _release(hold: asyncio.Future[None]) -> None:
@@ -51,6 +54,28 @@
         hold.set_result(None)
 
 
+def _hold_for(machine: Machine) -> timedelta:
+    """How long an answer that carries nothing may be kept back.
+
+    A worker has one report under way. A machine full of short tasks reported twice a
+    second, some hundred of them a thousand times; what it has to say of routine tasks that
+    run can wait. Not so what urgent work waits for: stops, images, gangs that gather.
+    """
+    if not machine.live:
+        return HOLD_IDLE
+    waited_for = machine.booked.cpus > 0 or not all(map(_routine, machine.live.values()))
+    return HOLD_BUSY if waited_for else HOLD_ROUTINE
+
+
+def _routine(placement: Placement) -> bool:
+    return (
+        placement.state is TaskState.RUNNING
+        and placement.stop is None
+        and placement.spec.priority.rank > Priority.HIGH.rank
+        and placement.spec.shape is Shape.ARRAY
+    )
+
+
 class CommandPost:
     """Lives for one term on the node that holds it."""
 
@@ -177,8 +202,7 @@
         self._holds[machine.name] = hold
         if self.dispatcher.has_commands(machine):
             self._woken.add(machine.name)  # it leaves after the pass that is due
-        span = HOLD_BUSY if machine.live else HOLD_IDLE
-        timer = loop.call_later(span.total_seconds(), _release, hold)
+        timer = loop.call_later(_hold_for(machine).total_seconds(), _release, hold)
         await hold
         timer.cancel()
         if self._holds.get(machine.name) is hold:
--- a/gingerspar/coordination/holder/keeper.py
+++ b/gingerspar/coordination/holder/keeper.py
@@ -1,12 +1,12 @@
 """Keeps the term: gives it up, raises it, and says whether this node may command."""
 
-import asyncio
 import logging
 from collections.abc import Callable
 from datetime import timedelta
 
 from gingerspar.coordination.holder.command import CommandPost
 from gingerspar.coordination.holder.dispatcher import Dispatcher
+from gingerspar.coordination.holder.strain import Strain
 from gingerspar.coordination.membership.session import Session
 from gingerspar.coordination.membership.term import (
     Knowledge,
@@ -47,6 +47,7 @@
         visits: Visits,
         news: dict[str, PeerNews],
         link: PeerLink,
+        strain: Strain,
     ) -> None:
         self.post: CommandPost | None = None
         self._node = node
@@ -58,6 +59,7 @@
         self._visits = visits
         self._news = news
         self._link = link
+        self._strain = strain
         self._span = authority_span(facts.workers)
         self._state = TermState.FOLLOWING
         self._started = clock.now()
@@ -153,7 +155,7 @@
 
     async def keep(self) -> None:
         while True:
-            await asyncio.sleep(TERM_CHECK.total_seconds())
+            await self._strain.sleep(TERM_CHECK)  # its timer is also the pulse
             if self._view.phase is not Phase.FOLLOWING:
                 continue
             knowledge = self._knowledge()
--- a/gingerspar/coordination/holder/strain.py
+++ b/gingerspar/coordination/holder/strain.py
@@ -15,7 +15,6 @@
 
 log = logging.getLogger(__name__)
 
-PULSE = timedelta(milliseconds=100)
 SMOOTHING = 0.2  # of the newest pulse
 ENTER = timedelta(milliseconds=120)  # pulses that late, smoothed, are overload
 LEAVE = timedelta(milliseconds=40)
@@ -48,11 +47,20 @@
 
     def _move(self, state: StrainState) -> None:
         """The only place where the state changes."""
-        log.info("strain: %s -> %s, timers %.0f ms late", self.state.value, state.value, self.lateness / PULSE * 100)
+        log.info(
+            "strain: %s -> %s, timers %.0f ms late", self.state.value, state.value, self.lateness.total_seconds() * 1000
+        )
         self.state = state
 
+    async def sleep(self, span: timedelta) -> None:
+        """Sleeps, and notes how much later than asked the timer fired."""
+        due = self._clock.now() + span
+        await asyncio.sleep(span.total_seconds())
+        now = self._clock.now()
+        self.pulse(now - due, now)
+
     def pulse(self, late: timedelta, now: timedelta) -> None:
-        """A timer fired ``late`` after its time."""
+        """A timer fired ``late`` after its time; called some ten times a second."""
         self.lateness += (min(max(late, timedelta(0)), MOST_COUNTED) - self.lateness) * SMOOTHING
         if self.lateness > LEAVE:
             self._calm_since = None
@@ -63,13 +71,6 @@
         elif self.overloaded and self._calm_since is not None and now - self._calm_since >= CALM:
             self._move(StrainState.EASY)
 
-    async def run(self) -> None:
-        while True:
-            due = self._clock.now() + PULSE
-            await asyncio.sleep(PULSE.total_seconds())
-            now = self._clock.now()
-            self.pulse(now - due, now)
-
     def pause_after(self, spent: timedelta, shares: dict[StrainState, float], least: timedelta) -> timedelta:
         """How long an activity that took ``spent`` has to rest to keep to its share."""
         return max(least, spent * (1 / shares[self.state] - 1))
--- a/gingerspar/coordination/machines/fleet.py
+++ b/gingerspar/coordination/machines/fleet.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 
 from gingerspar.coordination.books.book import Book, Choice
+from gingerspar.coordination.books.ends import Spans
 from gingerspar.coordination.books.ledger import NOTHING, Machine, MachineState, Usage, fits
 from gingerspar.coordination.books.pool import Offer, allows
 from gingerspar.coordination.books.runs import JobRun
@@ -94,36 +95,32 @@
     """Room that running tasks will probably leave before a machine rented now could be up."""
 
     def __init__(self, book: Book, now: timedelta) -> None:
+        self._book = book
         self._now = now
-        self._ends: dict[Offer, list[tuple[timedelta, JobSpec]]] = {}
+        self._spans = Spans(book.estimates.run_time)
         self._taken: dict[Offer, Usage] = {}
-        spans: dict[str, timedelta] = {}
-        for machine in book.pool.among(MachineState.READY):
-            ends = self._ends.setdefault((machine.type, machine.zone, machine.spot), [])
-            for placement in machine.live.values():
-                since = placement.running_since
-                if since is not None:
-                    span = spans.get(placement.job)
-                    if span is None:
-                        span = spans[placement.job] = book.estimates.run_time(placement.spec)
-                    ends.append((since + span, placement.spec))
         self._sums: dict[tuple[Offer, timedelta], Usage] = {}
+        self._offers = book.ends.offers()
 
     def _until(self, offer: Offer, span: timedelta) -> Usage:
         """What is released there within the span; work past its estimate is about to end."""
         step = math.ceil(span / FREE_STEP) * FREE_STEP
         total = self._sums.get((offer, step))
         if total is None:
-            total = self._sums[(offer, step)] = Usage()
-            for end, spec in self._ends[offer]:
-                if end <= self._now + step:
-                    total.add(spec)
+            by = self._now + step
+            total = self._sums[(offer, step)] = self._book.ends.released(offer, by, self._spans)
+            for machine in self._book.pool.among(MachineState.LEAVING):  # takes nothing more
+                if (machine.type, machine.zone, machine.spot) == offer:
+                    for placement in machine.live.values():
+                        since = placement.running_since
+                        if since is not None and since + self._spans.of(placement.spec) <= by:
+                            total.add(placement.spec, -1)
         return total
 
     def put(self, spec: JobSpec, count: int, span: timedelta) -> int:
         """Takes places for up to ``count`` tasks from what is left; how many it found."""
         found = 0
-        for offer in self._ends if span > NOTHING else ():
+        for offer in self._offers if span > NOTHING else ():
             if found >= count:
                 break
             if not allows(spec, *offer):
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from gingerspar.coordination.books.ends import Spans
 from gingerspar.coordination.books.ledger import Machine, MachineState
 from gingerspar.coordination.holder.dispatcher import Dispatcher
 from gingerspar.coordination.machines.roster import plan_groups
@@ -191,3 +192,35 @@
     assert len(pool.with_room(spec)) == MACHINES - 2
     fleet.dispatcher.lost(machine, "test", NOW)
     assert pool.among(MachineState.LOST) == [machine]
+
+
+def test_what_comes_free_follows_every_task() -> None:
+    """Kept in order as tasks start and leave, it has to say what going through all of them would."""
+    fleet = Fleet(40)
+    book = fleet.dispatcher.book
+    for number in range(1, 9):
+        fleet.job(number, 15 + number, cpus=3.0 + number / 4)
+    fleet.place()
+    machines = list(fleet.dispatcher.machines.values())
+    spans = Spans(book.estimates.run_time)
+    for step, machine in enumerate(machines * 3):
+        fleet.now += timedelta(seconds=0.7)
+        if machine.state is not MachineState.READY:
+            continue
+        if step % 11 == 10:
+            fleet.dispatcher.lost(machine, "test", fleet.now)
+        else:
+            if not any(p.running_since is not None for p in machine.live.values()):
+                fleet.answer(machine, [])
+            running = [TaskReport(p.name, p.attempt, TaskStatus.RUNNING) for p in machine.live.values()]
+            if running and step % 3 == 2:
+                running[0] = TaskReport(running[0].task, running[0].attempt, TaskStatus.EXITED, Cause.DONE)
+            fleet.answer(machine, running)
+        fleet.place()
+        if step % 10 == 0:
+            by = fleet.now + timedelta(seconds=step % 70)
+            live = [p for m in machines for p in m.live.values() if p.running_since is not None]
+            expected = sum(p.spec.cpus for p in live if p.running_since + spans.of(p.spec) <= by)
+            found = sum(book.ends.released(offer, by, spans).cpus for offer in book.ends.offers())
+            assert abs(found - expected) < 1e-6
+            assert live
