--- a/gingerspar/coordination/books/book.py
+++ b/gingerspar/coordination/books/book.py
@@ -25,6 +25,7 @@
 from gingerspar.coordination.books.runs import Backlog, GangState, JobRun
 from gingerspar.protocol.messages import JobSpec, MachineType, Priority
 from gingerspar.protocol.settings import Objective, TeamFacts
+from gingerspar.storage.records import Order
 
 log = logging.getLogger(__name__)
 
@@ -35,6 +36,9 @@
 SPENT_ON_WAITING = 0.5  # of the time to spare: a job is done with its slowest task
 START_UP = timedelta(seconds=5)  # claim, reports and what else comes before a task runs
 DEAR = 1.5
+LEAST_START = timedelta(seconds=2)  # from a place to a running task, at the least
+MUCH_LATER = 1e7  # seconds, more than any deadline is ahead
+UNDUE = 1e12  # seconds, later than all deadlines
 MOST_KINDS = 2000  # of task, whose prices are remembered
 _COUNTED = (TaskState.RUNNING, TaskState.SAVING)  # shown to users as running
 
@@ -57,11 +61,16 @@
         self.term = term
         self._finish_within: dict[str, tuple[timedelta, timedelta]] = {}  # by class: first and last aim
         self._late_at: dict[str, float] = {}  # by class: times its deadline
+        self._start_within: dict[str, list[timedelta]] = {}  # by class: earliest first
         for objective in objectives:
             if objective.kind == "finished" and objective.jobclass and objective.within_s:
                 within = timedelta(seconds=objective.within_s)
                 first, last = self._finish_within.get(objective.jobclass, (within, within))
                 self._finish_within[objective.jobclass] = (min(first, within), max(last, within))
+            elif objective.kind == "wait" and objective.jobclass and objective.within_s:
+                starts = self._start_within.setdefault(objective.jobclass, [])
+                starts.append(timedelta(seconds=objective.within_s))
+                starts.sort()
             elif objective.kind == "deadline" and objective.jobclass and objective.times:
                 times = max(objective.times, self._late_at.get(objective.jobclass, 1.0))
                 self._late_at[objective.jobclass] = times
@@ -261,6 +270,22 @@
         left = run.submitted + within - now - START_UP - self.estimates.run_time(run.spec) * OVERRUN
         return max(left * SPENT_ON_WAITING, NOTHING)
 
+    def order(self, run: JobRun, now: timedelta) -> Order:
+        """Priority, then earliest due.
+
+        Work that can't be in time any more comes after what can. A job without a deadline
+        comes after those with one, and is due when the operators next ask its class to have
+        started: when the first such time has passed, it is due at the next one.
+        """
+        rank, due, submitted, job = run.record.order
+        if run.spec.due_s is not None:
+            run.lateness = max(run.lateness, self.lateness(run, now))
+            return (rank, due + run.lateness * MUCH_LATER, submitted, job)
+        for within in self._start_within.get(run.spec.jobclass, ()):
+            if now - run.submitted < within - LEAST_START:
+                return (rank, UNDUE + submitted + within.total_seconds(), submitted, job)
+        return run.record.order
+
     def lateness(self, run: JobRun, now: timedelta) -> int:
         """0: a job with a deadline may be in time; 1: it will be late; 2: later than still counts."""
         if run.spec.due_s is None:
--- a/gingerspar/coordination/books/runs.py
+++ b/gingerspar/coordination/books/runs.py
@@ -14,7 +14,6 @@
 from gingerspar.storage.records import JobRecord, Order, TaskSet
 
 FIRST_BACKOFF = timedelta(seconds=1)
-MUCH_LATER = 1e7  # seconds, more than any deadline is ahead
 
 
 Family = tuple[object, ...]  # of jobs that may use the same machines
@@ -61,7 +60,7 @@
     booked: dict[Machine, int] = field(default_factory=dict)  # room that is kept for a gang
     booked_since: timedelta | None = None
     room_sought: timedelta | None = None  # when work was last looked at that could make room
-    order: Order = field(init=False)  # changes only when the job is seen to be late
+    order: Order = field(init=False)  # changes only through ``Backlog.reorder``
     lateness: int = 0
     family: Family = field(init=False)
 
@@ -174,13 +173,10 @@
                 del self._delayed[job]
                 self.refile(run, now)
 
-    def put_back(self, run: JobRun, lateness: int) -> None:
-        """Work that can't be in time any more comes after what can."""
-        if run.lateness >= lateness:
+    def reorder(self, run: JobRun, order: Order) -> None:
+        """What a job is due for changes while it waits."""
+        if order == run.order:
             return
-        run.lateness = lateness
-        rank, due, submitted, job = run.record.order
-        order = (rank, due + lateness * MUCH_LATER, submitted, job)
         for queue in (self.waiting, self.unseen):
             if queue.pop(run.order, None) is not None:
                 queue[order] = run
--- a/gingerspar/coordination/holder/dispatcher.py
+++ b/gingerspar/coordination/holder/dispatcher.py
@@ -131,6 +131,7 @@
             age = self._today().timestamp() - record.submitted
             run.submitted = now - timedelta(seconds=max(age, 0.0))
         run.open.update(finished.missing())
+        run.order = self.book.order(run, now)
         self.book.estimates.job(run.spec)
         if run.spec.gpus:
             self.book.accelerated[run.spec.jobclass] = run.spec
--- a/gingerspar/coordination/placing/placer.py
+++ b/gingerspar/coordination/placing/placer.py
@@ -91,7 +91,7 @@
         if now - self._looked_again >= LOOK_AGAIN:
             self._looked_again = now
             for run in backlog:
-                backlog.put_back(run, book.lateness(run, now))
+                backlog.reorder(run, book.order(run, now))
             backlog.look_again()
         if self._walked is None:
             self._gained = Gained(pool.take_gained())
--- a/tests/tracing.py
+++ b/tests/tracing.py
@@ -22,7 +22,7 @@
     Verb,
     encode,
 )
-from gingerspar.protocol.settings import TeamFacts, WorkerFacts
+from gingerspar.protocol.settings import Objective, TeamFacts, WorkerFacts
 from gingerspar.storage.records import Claimant, JobRecord, TaskSet
 
 
@@ -44,6 +44,7 @@
         self.types = [MachineType("big", 16, 64, cache_gb=60, zones=("a", "b"), price=1.0, spot_price=0.3, boot_s=20)]
         self.dispatcher = Dispatcher(1, self.now, self.workers, self.teams)
         self.dispatcher.set_types(self.types)
+        self.objectives: list[Objective] = []
         self.answer: list[Command] | None = None
         self.refused = ""
         self.specs: dict[str, JobSpec] = {}
@@ -72,6 +73,11 @@
         self.teams = [each for each in self.teams if each.name != team.name] + [team]
         self._term([str(self.dispatcher.term)])
 
+    def _asked(self, words: list[str]) -> None:
+        """What the operators ask of class c: ``asked wait 30 150``."""
+        self.objectives = [Objective(words[0], "c", float(within)) for within in words[1:]]
+        self._term([str(self.dispatcher.term)])
+
     def _type(self, words: list[str]) -> None:
         given = _fields(words[1:])
         self.types.append(
@@ -93,7 +99,9 @@
         given = _fields(words[1:])
         names = given.get("roster", "").split(",") if given.get("roster") else []
         roster = [(name, "big", given.get("zone", "a"), False) for name in names]
-        self.dispatcher = Dispatcher(int(words[0]), self.now, self.workers, self.teams, roster=roster)
+        self.dispatcher = Dispatcher(
+            int(words[0]), self.now, self.workers, self.teams, objectives=self.objectives, roster=roster
+        )
         self.dispatcher.set_types(self.types)
         self.dispatcher.final_spec = self.specs.get
 
@@ -130,6 +138,7 @@
             Claimant("n1", 1),
             first_term=int(given.get("first_term", term)),
             claim_term=term,
+            submitted=self.now.total_seconds(),
         )
         self.dispatcher.set_record(spec.job, record, finished, self.now)
         self.dispatcher.place(self.now)
