--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -194,6 +194,31 @@
     assert pool.among(MachineState.LOST) == [machine]
 
 
+def test_machines_lost_by_the_hundred() -> None:
+    """They lose the network together, and come back with their leases over while others do their work."""
+    fleet = Fleet()
+    fleet.job(1, 2 * MACHINES)
+    fleet.place()
+    machines = list(fleet.dispatcher.machines.values())
+    silent, others = machines[:110], machines[110:]
+    for second in (0, 8, 16, 24):
+        fleet.now = NOW + timedelta(seconds=second)
+        for machine in others:
+            fleet.answer(machine, [TaskReport(p.name, p.attempt, TaskStatus.RUNNING) for p in machine.live.values()])
+        fleet.dispatcher.tick(fleet.now)
+    assert fleet.dispatcher.pool.among(MachineState.LOST) == silent
+    # One look at each machine finds all the room there is; nothing is sent before the leases are over.
+    assert fleet.place() <= 2 * MACHINES
+    assert not fleet.dispatcher.runs["wk-000001"].open
+    assert all(not machine.live for machine in silent)
+    for machine in silent:
+        report = _report(machine.name, 50, [])
+        report.session = 2
+        fleet.dispatcher.report(report, fleet.now)
+    assert not fleet.dispatcher.pool.among(MachineState.LOST)
+    assert fleet.place() <= MACHINES
+
+
 def test_what_comes_free_follows_every_task() -> None:
     """Kept in order as tasks start and leave, it has to say what going through all of them would."""
     fleet = Fleet(40)
