--- a/gingerspar/coordination/books/ledger.py
+++ b/gingerspar/coordination/books/ledger.py
@@ -75,6 +75,10 @@
     told_directly: timedelta | None = None  # grace of the stop that was sent outside of reports
     cause: Cause | None = None
     running_since: timedelta | None = None
+    name: str = field(init=False)  # as reports and commands have it
+
+    def __post_init__(self) -> None:
+        self.name = f"{self.spec.job}/{self.number}"
 
     @property
     def job(self) -> str:
@@ -84,10 +88,6 @@
     def id(self) -> TaskId:
         return (self.spec.job, self.number)
 
-    @property
-    def name(self) -> str:
-        return f"{self.spec.job}/{self.number}"
-
     @property
     def live(self) -> bool:
         """It is, or may be, on the machine."""
@@ -131,6 +131,13 @@
         self.memory_gb += count * spec.memory_gb
 
 
+RANKS = len(Priority)
+
+
+def _empty_shares() -> list[Usage]:
+    return [Usage() for _ in range(RANKS)]
+
+
 def fits(spec: JobSpec, cpus: float, gpus: float, memory_gb: float) -> int:
     """How many tasks of this kind the given amounts take."""
     count = 1_000_000
@@ -167,20 +174,14 @@
 
 @dataclass(slots=True)
 class Weight:
-    """What tasks of one priority take, and what stopping them would throw away."""
+    """What stopping the tasks of one priority would throw away."""
 
-    cpus: float = 0.0
-    gpus: float = 0.0
-    memory_gb: float = 0.0
     weight: float = 0.0  # of those whose work since their start would be lost
     since: float = 0.0  # the same, times their start
     saved: float = 0.0  # of those that save when they are stopped
 
     def add(self, placement: Placement) -> None:
         spec = placement.spec
-        self.cpus += spec.cpus
-        self.gpus += spec.gpus
-        self.memory_gb += spec.memory_gb
         if placement.stop is not None:
             return
         weight = resource_weight(spec)
@@ -226,6 +227,7 @@
     live: dict[tuple[str, int, int], Placement] = field(default_factory=dict)
     exited: dict[tuple[str, int, int], Cause | None] = field(default_factory=dict)
     used: Usage = field(default_factory=Usage)
+    shares: list[Usage] = field(default_factory=lambda: _empty_shares())  # of it by priority
     images: dict[str, float] = field(default_factory=dict)  # least recently used first
     idle_since: timedelta | None = None
     errors: dict[str, int] = field(default_factory=dict)  # failed tasks by job since the last success
@@ -258,6 +260,7 @@
     def take(self, placement: Placement) -> None:
         self.live[(placement.job, placement.number, placement.attempt)] = placement
         self.used.add(placement.spec)
+        self.shares[placement.spec.priority.rank].add(placement.spec)
         self.idle_since = None
         self.outlook = None
         self.changed(self, False)
@@ -265,9 +268,10 @@
     def release(self, placement: Placement) -> None:
         if self.live.pop((placement.job, placement.number, placement.attempt), None) is not None:
             self.used.add(placement.spec, -1)
+            self.shares[placement.spec.priority.rank].add(placement.spec, -1)
             self.outlook = None
             if not self.live:
-                self.used = Usage()  # no rounding left over
+                self.used, self.shares = Usage(), _empty_shares()  # no rounding left over
                 self.idle_since = None
             self.changed(self, True)
 
@@ -299,17 +303,22 @@
             last_end: timedelta | None = None
             longest_ahead = longest = NOTHING
             fetching: set[str] = set()
-            weights = tuple(Weight() for _ in Priority)
+            weights = tuple([Weight() for _ in range(RANKS)])
+            spans: dict[str, timedelta] = {}  # mostly these are tasks of few jobs
             for placement in self.live.values():
-                span = run_time(placement.spec)
-                longest = max(longest, span)
-                weights[placement.spec.priority.rank].add(placement)
-                if placement.running_since is None:
+                spec = placement.spec
+                span = spans.get(spec.job)
+                if span is None:
+                    span = spans[spec.job] = run_time(spec)
+                    longest = max(longest, span)
+                weights[spec.priority.rank].add(placement)
+                since = placement.running_since
+                if since is None:
                     longest_ahead = max(longest_ahead, span)
-                elif last_end is None or placement.running_since + span > last_end:
-                    last_end = placement.running_since + span
-                if placement.state in _FETCHING and placement.spec.image not in self.images:
-                    fetching.add(placement.spec.image)
+                elif last_end is None or since + span > last_end:
+                    last_end = since + span
+                if placement.state in _FETCHING and spec.image not in self.images:
+                    fetching.add(spec.image)
             self.outlook = Outlook(last_end, longest_ahead, longest, frozenset(fetching), weights)
         return self.outlook
 
--- a/gingerspar/coordination/books/needs.py
+++ b/gingerspar/coordination/books/needs.py
@@ -117,8 +117,8 @@
     free = fits(spec, cpus, gpus, memory)
     if not machine.live:
         return Places(free)
-    for weight in machine.look_ahead().weights[spec.priority.rank + 1 :]:
-        cpus, gpus, memory = cpus + weight.cpus, gpus + weight.gpus, memory + weight.memory_gb
+    for share in machine.shares[spec.priority.rank + 1 :]:
+        cpus, gpus, memory = cpus + share.cpus, gpus + share.gpus, memory + share.memory_gb
     return Places(free, max(fits(spec, cpus, gpus, memory) - free, 0))
 
 
--- a/gingerspar/coordination/holder/dispatcher.py
+++ b/gingerspar/coordination/holder/dispatcher.py
@@ -182,15 +182,14 @@
         return machine
 
     def _take_tasks(self, machine: Machine, report: Report, listed: list[TaskReport], now: timedelta) -> None:
-        reported: dict[tuple[str, int, int], TaskReport] = {}
-        for task in listed:
-            try:
-                job, number = task.where()
-            except ValueError:
-                continue
-            reported[(job, number, task.attempt)] = task
-        for key, placement in list(machine.live.items()):
-            seen = reported.get(key)
+        # Names are taken apart only for what is not known yet or has ended: most of what a
+        # report lists runs on as before.
+        reported = {(task.task, task.attempt): task for task in listed}
+        known: set[tuple[str, int]] = set()
+        for placement in list(machine.live.values()):
+            name = (placement.name, placement.attempt)
+            known.add(name)
+            seen = reported.get(name)
             if seen is not None:
                 self._update(placement, seen, now)
             elif placement.state is TaskState.SENT:
@@ -203,10 +202,23 @@
                         self.book.move(placement, TaskState.PLANNED, now)
             elif placement.state is not TaskState.PLANNED:
                 self.book.gone(placement, now)
-        machine.exited = {key: task.cause for key, task in reported.items() if task.status is TaskStatus.EXITED}
-        for key, task in reported.items():
+        machine.exited = {}
+        strangers: list[tuple[tuple[str, int, int], TaskReport]] = []
+        for name, task in reported.items():
+            exited = task.status is TaskStatus.EXITED
+            if name in known and not exited:
+                continue
+            try:
+                job, number = task.where()
+            except ValueError:
+                continue
+            key = (job, number, task.attempt)
+            if exited:
+                machine.exited[key] = task.cause
             if key not in machine.live:
-                self._adopt(machine, key, task, now)
+                strangers.append((key, task))
+        for key, task in strangers:
+            self._adopt(machine, key, task, now)
 
     def _update(self, placement: Placement, task: TaskReport, now: timedelta) -> None:
         if task.status is TaskStatus.EXITED:
