--- a/gingerspar/coordination/books/book.py
+++ b/gingerspar/coordination/books/book.py
@@ -61,16 +61,17 @@
         self.term = term
         self._finish_within: dict[str, tuple[timedelta, timedelta]] = {}  # by class: first and last aim
         self._late_at: dict[str, float] = {}  # by class: times its deadline
-        self._start_within: dict[str, list[timedelta]] = {}  # by class: earliest first
+        self._start_within: dict[str, list[timedelta]] = {}  # by class
+        self._done_within: dict[str, list[timedelta]] = {}  # by class
         for objective in objectives:
             if objective.kind == "finished" and objective.jobclass and objective.within_s:
                 within = timedelta(seconds=objective.within_s)
+                self._done_within.setdefault(objective.jobclass, []).append(within)
                 first, last = self._finish_within.get(objective.jobclass, (within, within))
                 self._finish_within[objective.jobclass] = (min(first, within), max(last, within))
             elif objective.kind == "wait" and objective.jobclass and objective.within_s:
-                starts = self._start_within.setdefault(objective.jobclass, [])
-                starts.append(timedelta(seconds=objective.within_s))
-                starts.sort()
+                within = timedelta(seconds=objective.within_s)
+                self._start_within.setdefault(objective.jobclass, []).append(within)
             elif objective.kind == "deadline" and objective.jobclass and objective.times:
                 times = max(objective.times, self._late_at.get(objective.jobclass, 1.0))
                 self._late_at[objective.jobclass] = times
@@ -275,16 +276,23 @@
 
         Work that can't be in time any more comes after what can. A job without a deadline
         comes after those with one, and is due when the operators next ask its class to have
-        started: when the first such time has passed, it is due at the next one.
+        started, or when it has to start so as to be done when they ask for it: when the
+        first such time has passed, it is due at the next one.
         """
         rank, due, submitted, job = run.record.order
         if run.spec.due_s is not None:
             run.lateness = max(run.lateness, self.lateness(run, now))
             return (rank, due + run.lateness * MUCH_LATER, submitted, job)
-        for within in self._start_within.get(run.spec.jobclass, ()):
-            if now - run.submitted < within - LEAST_START:
-                return (rank, UNDUE + submitted + within.total_seconds(), submitted, job)
-        return run.record.order
+        starts = self._start_within.get(run.spec.jobclass, [])
+        ends = self._done_within.get(run.spec.jobclass, [])
+        if ends:
+            span = self.estimates.run_time(run.spec)
+            starts = starts + [within - span for within in ends]
+        waited = now - run.submitted + LEAST_START
+        within = min((within for within in starts if within > waited), default=None)
+        if within is None:
+            return run.record.order
+        return (rank, UNDUE + submitted + within.total_seconds(), submitted, job)
 
     def lateness(self, run: JobRun, now: timedelta) -> int:
         """0: a job with a deadline may be in time; 1: it will be late; 2: later than still counts."""
--- a/gingerspar/coordination/holder/command.py
+++ b/gingerspar/coordination/holder/command.py
@@ -54,7 +54,7 @@
         hold.set_result(None)
 
 
-def _hold_for(machine: Machine) -> timedelta:
+def _hold_for(machine: Machine, overloaded: bool) -> timedelta:
     """How long an answer that carries nothing may be kept back.
 
     A worker has one report under way. A machine full of short tasks reported twice a
@@ -63,8 +63,9 @@
     """
     if not machine.live:
         return HOLD_IDLE
+    routine = HOLD_IDLE if overloaded else HOLD_ROUTINE
     waited_for = machine.booked.cpus > 0 or not all(map(_routine, machine.live.values()))
-    return HOLD_BUSY if waited_for else HOLD_ROUTINE
+    return HOLD_BUSY if waited_for else routine
 
 
 def _routine(placement: Placement) -> bool:
@@ -202,7 +203,8 @@
         self._holds[machine.name] = hold
         if self.dispatcher.has_commands(machine):
             self._woken.add(machine.name)  # it leaves after the pass that is due
-        timer = loop.call_later(_hold_for(machine).total_seconds(), _release, hold)
+        span = _hold_for(machine, self._strain.overloaded)
+        timer = loop.call_later(span.total_seconds(), _release, hold)
         await hold
         timer.cancel()
         if self._holds.get(machine.name) is hold:
--- a/tests/tracing.py
+++ b/tests/tracing.py
@@ -74,8 +74,8 @@
         self._term([str(self.dispatcher.term)])
 
     def _asked(self, words: list[str]) -> None:
-        """What the operators ask of class c: ``asked wait 30 150``."""
-        self.objectives = [Objective(words[0], "c", float(within)) for within in words[1:]]
+        """What the operators ask of class c: ``asked wait 30 150``, ``asked finished 250``."""
+        self.objectives += [Objective(words[0], "c", float(within)) for within in words[1:]]
         self._term([str(self.dispatcher.term)])
 
     def _type(self, words: list[str]) -> None:
