--- a/gingerspar/coordination/holder/command.py
+++ b/gingerspar/coordination/holder/command.py
@@ -10,6 +10,7 @@
 from gingerspar.coordination.books.pool import Offer
 from gingerspar.coordination.holder.dispatcher import Dispatcher, Outdated, Stale
 from gingerspar.coordination.holder.strain import DECIDING, PLANNING, Strain
+from gingerspar.coordination.jobs.frontdoor import problem
 from gingerspar.coordination.machines import fleet
 from gingerspar.coordination.machines.cloud import Cloud, CloudTrouble, NoCapacity, NotEntitled
 from gingerspar.coordination.machines.roster import Roster
@@ -19,6 +20,7 @@
     DirectCommands,
     MachineStatus,
     MachineType,
+    Malformed,
     Priority,
     RentRequest,
     Report,
@@ -177,6 +179,8 @@
             machine = self.dispatcher.report(report, self._clock.now())
         except Stale:
             return Answer(503, b'{"error":"late"}')
+        except Malformed as error:
+            return problem(400, str(error))
         except Outdated:
             return Answer(503, b'{"error":"not entitled"}')
         if self.dispatcher.dirty:
--- a/gingerspar/coordination/holder/dispatcher.py
+++ b/gingerspar/coordination/holder/dispatcher.py
@@ -140,10 +140,15 @@
     # -- reports --------------------------------------------------------------
 
     def report(self, report: Report, now: timedelta) -> Machine:
-        """Takes a report in; raises ``Stale`` or ``Outdated`` if it must not be answered."""
+        """Takes a report in; raises ``Stale`` or ``Outdated`` if it must not be answered.
+
+        ``Malformed``, before anything has changed, if its task list can't be read.
+        """
         if report.token > self.term:
             raise Outdated
         machine = self.machines.get(report.machine)
+        tasks = bytes(report.tasks)
+        listed = report.listed() if machine is None or tasks != machine.tasks_seen else None
         if machine is None:
             # Unexpected, yet not on the roster: no older holder can have used it.
             machine = self.book.add_machine(
@@ -153,8 +158,6 @@
             raise Stale
         if report.session < machine.least_session or (report.session, report.seq) <= (machine.session, machine.seq):
             raise Stale
-        tasks = bytes(report.tasks)
-        listed = report.listed() if tasks != machine.tasks_seen else None
         machine.session, machine.seq = report.session, report.seq
         machine.address = report.address
         machine.answered = now
--- a/gingerspar/protocol/messages.py
+++ b/gingerspar/protocol/messages.py
@@ -8,7 +8,7 @@
 import re
 from datetime import timedelta
 from enum import Enum
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
@@ -201,6 +201,9 @@
         return job, int(number)
 
 
+LONGEST_S = 1e9  # no span that anybody names is longer
+
+
 class Report(
     msgspec.Struct,
     rename={
@@ -218,7 +221,7 @@
     seq: int
     token: int = 0
     spot: bool = False
-    notice_s: float | None = None
+    notice_s: Annotated[float, msgspec.Meta(ge=0.0, le=LONGEST_S)] | None = None
     tasks: msgspec.Raw = msgspec.Raw(b"[]")  # read by ``listed`` only if it differs from the report before
 
     def listed(self) -> list[TaskReport]:
--- /dev/null
+++ b/tests/test_fuzz.py
@@ -0,0 +1,127 @@
+"""Reports that no worker should send: a clear refusal, and nothing changed."""
+
+from collections.abc import Coroutine
+from datetime import timedelta
+from types import SimpleNamespace
+from typing import Any
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gingerspar.coordination.holder.command import CommandPost
+from gingerspar.coordination.holder.dispatcher import Dispatcher
+from gingerspar.coordination.holder.strain import Strain
+from gingerspar.protocol import messages
+from gingerspar.protocol.messages import MachineType, Malformed, Report
+from gingerspar.protocol.settings import OperatorSettings, WorkerFacts
+from gingerspar.transport.clock import Clock
+
+JUNK = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(-(2**70), 2**70),
+    st.floats(allow_nan=False, allow_infinity=False),
+    st.text(max_size=12),
+    st.lists(st.integers(), max_size=2),
+    st.dictionaries(st.text(max_size=3), st.integers(), max_size=2),
+)
+TASK = st.fixed_dictionaries(
+    {},
+    optional={
+        "Piece": st.one_of(st.sampled_from(["wk-000001/0", "wk-000001/9", "wk-1", "/", "wk-000001/-1", ""]), JUNK),
+        "Try": st.one_of(st.integers(0, 3), JUNK),
+        "Status": st.one_of(st.sampled_from(["running", "ended", "fetching", "gone"]), JUNK),
+        "Cause": st.one_of(st.sampled_from(["done", "error", "bored"]), JUNK),
+    },
+)
+GOOD = {
+    "Host": "n-000001",
+    "Endpoint": "10.0.0.9:1",
+    "Build": "big",
+    "Hall": "a",
+    "Stint": 1,
+    "Tick": 1,
+    "Baton": 1,
+    "Loaners": False,
+    "WarningS": None,
+    "Pieces": [],
+}
+PARTS = {
+    "Endpoint": st.sampled_from(["10.0.0.9:1", ""]),
+    "Build": st.sampled_from(["big", "other"]),
+    "Hall": st.sampled_from(["a", "z"]),
+    "Loaners": st.booleans(),
+    "Host": st.sampled_from(["n-000001", "n-000002", ""]),
+    "Stint": st.integers(0, 2),
+    "Tick": st.integers(0, 50),
+    "Baton": st.integers(0, 2),
+    "WarningS": st.sampled_from([20.0, 1e300, -1.0]),
+    "Pieces": st.lists(TASK, min_size=1, max_size=3),
+}
+
+
+@st.composite
+def _reports(draw: st.DrawFn) -> dict[str, Any]:
+    """A good report in which a few fields say something else, or nothing."""
+    report: dict[str, Any] = {**GOOD, "Tick": draw(st.integers(1, 99))}
+    for name in draw(st.lists(st.sampled_from(sorted(GOOD)), max_size=3, unique=True)):
+        if draw(st.integers(0, 19)) == 0:
+            del report[name]
+        else:
+            report[name] = draw(PARTS[name] if draw(st.integers(0, 7)) else JUNK)
+    return report
+
+
+def _post() -> CommandPost:
+    dispatcher = Dispatcher(1, timedelta(0), WorkerFacts(report_s=2.5, lease_s=18, cancel_s=43), [])
+    dispatcher.set_types([MachineType("big", 16, 64, zones=("a",), price=1.0, boot_s=20)])
+    view: Any = SimpleNamespace(on_job=[], roster={}, age=lambda: timedelta(0), final_spec=lambda job: None)
+    rest: Any = SimpleNamespace()
+    return CommandPost(
+        "n1", dispatcher, rest, view, rest, rest, Clock(), rest, OperatorSettings(),
+        lambda: True, lambda node, jobs: None, lambda node, job, attempt: None, Strain(Clock()),
+    )  # fmt: skip
+
+
+def _status(post: CommandPost, body: bytes) -> int:
+    try:
+        report = messages.decode(Report, body)
+    except Malformed:
+        return 400
+    answer = post.report(report)
+    if isinstance(answer, Coroutine):
+        answer.close()  # held back: it would be answered 200
+        return 200
+    assert not hasattr(answer, "__await__")
+    return answer.status  # type: ignore[union-attr]
+
+
+@settings(max_examples=250, derandomize=True, deadline=None)
+@given(st.lists(_reports(), min_size=1, max_size=4))
+def test_whatever_comes_is_answered(reports: list[dict[str, Any]]) -> None:
+    """Found here: a task list that can't be read made a machine of nothing, and the answer 503;
+    a notice of 1e300 s ended in an error inside."""
+    post = _post()
+    for report in reports:
+        known = set(post.dispatcher.machines)
+        status = _status(post, msgspec.json.encode(report) if _encodable(report) else b"{")
+        assert status in (200, 400, 503)
+        if status == 400:
+            assert set(post.dispatcher.machines) == known
+        post.dispatcher.tick(timedelta(seconds=1))
+        post.dispatcher.place(timedelta(seconds=1))
+
+
+@settings(max_examples=100, derandomize=True, deadline=None)
+@given(st.binary(max_size=60))
+def test_bytes_that_are_no_report(body: bytes) -> None:
+    assert _status(_post(), body) in (200, 400, 503)
+
+
+def _encodable(report: dict[str, Any]) -> bool:
+    try:
+        msgspec.json.encode(report)
+    except (OverflowError, UnicodeEncodeError):
+        return False
+    return True
--- /dev/null
+++ b/tests/test_needs.py
@@ -0,0 +1,160 @@
+"""The index of places by kind of task says at any time what going through all machines would say."""
+
+from datetime import timedelta
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from gingerspar.coordination.books.book import Book
+from gingerspar.coordination.books.ledger import Machine, MachineState, Placement, TaskState, fits
+from gingerspar.coordination.books.needs import MOST_NEEDS
+from gingerspar.coordination.books.pool import allows
+from gingerspar.coordination.books.runs import JobRun
+from gingerspar.protocol.messages import JobSpec, JobStatus, MachineType, Priority, Shape
+from gingerspar.protocol.settings import TeamFacts
+from gingerspar.storage.records import JobRecord, TaskSet
+
+KINDS = [
+    MachineType("plain", 16, 64, zones=("a", "b"), price=1.0, spot_price=0.3, boot_s=20),
+    MachineType("cards", 48, 192, gpus=4, zones=("a", "b"), price=9.0, spot_price=3.0, boot_s=25),
+]
+MACHINES = 3
+ROUTINE, URGENT = Priority.LOW, Priority.HIGH
+
+
+def _spec(number: int, priority: Priority, cpus: float, gpus: float = 0.0, **changes: object) -> JobSpec:
+    job = f"wk-{number:06d}"
+    return JobSpec(job, "c", "red", Shape.ARRAY, priority, 50, cpus, 4 * cpus, gpus, **changes)  # type: ignore[arg-type]
+
+
+ASKED = [
+    _spec(1, URGENT, 15.0),
+    _spec(2, URGENT, 6.0, one_zone=True, spot=True),
+    _spec(3, Priority.NORMAL, 10.0, 1.0, spot=True),
+    _spec(4, URGENT, 4.0, types=("cards",), zone="b"),
+]
+
+
+class Days(RuleBasedStateMachine):
+    """Tasks, bookings and machines come and go in any order."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.now = timedelta(0)
+        self.book = Book(1, [TeamFacts("red")])
+        self.book.set_types(KINDS)
+        self.numbers = 0
+        self.booked: list[JobRun] = []
+        for number in range(MACHINES):
+            self._add(f"n-{number}", number)
+
+    def _add(self, name: str, number: int) -> None:
+        kind, zone, spot = ("plain", "cards")[number % 2], "ab"[number // 2 % 2], number % 3 == 0
+        machine = self.book.add_machine(name, kind, zone, spot, self.now, MachineState.BOOTING)
+        machine.move(MachineState.READY)
+        machine.enlist()
+
+    def _pick(self, number: int) -> Machine:
+        machines = list(self.book.pool)
+        return machines[number % len(machines)]
+
+    def _run(self, spec: JobSpec) -> JobRun:
+        run = JobRun(spec, JobRecord(spec, JobStatus.RUNNING, 1), TaskSet(50), TaskSet(50))
+        self.book.runs[spec.job] = run
+        return run
+
+    @rule(at=st.integers(0, 99), urgent=st.booleans(), cpus=st.sampled_from([2.5, 7.0]), cards=st.booleans())
+    def start(self, at: int, urgent: bool, cpus: float, cards: bool) -> None:
+        machine = self._pick(at)
+        self.numbers += 1
+        spec = _spec(100 + self.numbers, URGENT if urgent else ROUTINE, cpus, 1.0 if cards else 0.0)
+        if machine.state is MachineState.READY and machine.room_for(spec):
+            self.book.enter(self._run(spec), Placement(spec, 0, 1, machine, TaskState.SENT, self.now))
+
+    @rule(at=st.integers(0, 99), which=st.integers(0, 99), step=st.sampled_from([TaskState.RUNNING, None]))
+    def go_on(self, at: int, which: int, step: TaskState | None) -> None:
+        live = list(self._pick(at).live.values())
+        if live:
+            placement = live[which % len(live)]
+            if step is None:
+                self.book.gone(placement, self.now)
+            else:
+                self.book.move(placement, step, self.now)
+
+    @rule(at=st.integers(0, 99), which=st.integers(0, 99))
+    def stop(self, at: int, which: int) -> None:
+        live = list(self._pick(at).live.values())
+        if live:
+            self.book.stop(live[which % len(live)], timedelta(0), self.now)
+
+    @rule(at=st.integers(0, 99), count=st.integers(1, 3))
+    def keep_room(self, at: int, count: int) -> None:
+        self.numbers += 1
+        run = self._run(_spec(100 + self.numbers, URGENT, 5.0))
+        self.book.book(run, {self._pick(at): count}, self.now)
+        self.booked.append(run)
+
+    @rule()
+    def give_room_up(self) -> None:
+        if self.booked:
+            self.book.unbook(self.booked.pop(0))
+
+    @rule(at=st.integers(0, 99))
+    def leave(self, at: int) -> None:
+        machine = self._pick(at)
+        if machine.state is MachineState.READY:
+            machine.move(MachineState.LEAVING)
+
+    @rule(at=st.integers(0, 99))
+    def replace(self, at: int) -> None:
+        machine = self._pick(at)
+        if any(machine in run.booked for run in self.booked):
+            return
+        machine.move(MachineState.RETURNING)
+        self.book.remove_machine(machine, self.now)
+        self.numbers += 1
+        self._add(f"n-{self.numbers + MACHINES}", self.numbers)
+
+    @rule(seconds=st.integers(1, 30))
+    def wait(self, seconds: int) -> None:
+        self.now += timedelta(seconds=seconds)
+
+    @invariant()
+    def same_as_going_through_all(self) -> None:
+        for spec in ASKED:
+            need = self.book.pool.need(spec)
+            rank = spec.priority.rank
+            expected: dict[str, tuple[int, int]] = {}
+            for machine in self.book.pool:
+                if machine.state is not MachineState.READY:
+                    continue
+                if not allows(spec, machine.type, machine.zone, machine.spot):
+                    continue
+                free = machine.room_for(spec)
+                cpus, gpus, memory = machine.free()
+                for placement in machine.live.values():
+                    if placement.spec.priority.rank > rank:
+                        theirs = placement.spec
+                        cpus, gpus, memory = cpus + theirs.cpus, gpus + theirs.gpus, memory + theirs.memory_gb
+                more = fits(spec, cpus, gpus, memory) - free
+                if free or more:
+                    expected[machine.name] = (free, more)
+            assert {name: (p.free, p.stopping) for name, p in need.places.items()} == expected
+            assert set(need.free) == {name for name, (free, _) in expected.items() if free}
+            total = sum(free + more for free, more in expected.values())
+            assert sum(places.all for _, places in need.sums()) == total
+            ranked = [machine.name for machine in need.by_loss(self.now)]
+            assert sorted(ranked) == sorted(name for name, (_, more) in expected.items() if more)
+
+
+TestDays = Days.TestCase
+TestDays.settings = settings(max_examples=40, stateful_step_count=50, derandomize=True, deadline=None)
+
+
+def test_only_so_many_kinds_are_kept() -> None:
+    """Jobs whose tasks differ each by a little must not make every change of a machine dearer for good."""
+    book = Book(1, [TeamFacts("red")])
+    for number in range(3 * MOST_NEEDS):
+        book.pool.need(_spec(number, URGENT, 1.0 + number / 100))
+    assert len(book.pool._needs._needs) == MOST_NEEDS
