--- a/gingerspar/coordination/holder/command.py
+++ b/gingerspar/coordination/holder/command.py
@@ -48,7 +48,7 @@
 RETIRED_FOR = timedelta(minutes=2)  # far longer than the machine list lags
 HOLD_IDLE = timedelta(seconds=2)  # workers give an answer up after 4 s
 HOLD_BUSY = timedelta(milliseconds=200)  # a worker with tasks has news of its own to tell
-HOLD_ROUTINE = timedelta(milliseconds=800)  # ... that can wait a little: ends of routine tasks
+ROUTINE_RATE = 500  # reports a second that machines with nothing but routine tasks may send, all together
 
 
 def _release(hold: asyncio.Future[None]) -> None:
@@ -56,18 +56,19 @@
         hold.set_result(None)
 
 
-def _hold_for(machine: Machine, overloaded: bool) -> timedelta:
+def _hold_for(machine: Machine, ready: int, overloaded: bool) -> timedelta:
     """How long an answer that carries nothing may be kept back.
 
     A worker has one report under way. A machine full of short tasks reported twice a
     second, some hundred of them a thousand times; what it has to say of routine tasks that
-    run can wait. Not so what urgent work waits for: stops, images, gangs that gather.
+    run can wait, the longer the more machines are ``ready``. Not so what urgent work waits
+    for: stops, images, gangs that gather.
     """
     if not machine.live:
         return HOLD_IDLE
-    routine = HOLD_IDLE if overloaded else HOLD_ROUTINE
+    routine = HOLD_IDLE if overloaded else timedelta(seconds=ready / ROUTINE_RATE)
     waited_for = machine.booked.cpus > 0 or not all(map(_routine, machine.live.values()))
-    return HOLD_BUSY if waited_for else routine
+    return HOLD_BUSY if waited_for else min(max(routine, HOLD_BUSY), HOLD_IDLE)
 
 
 def _routine(placement: Placement) -> bool:
@@ -207,7 +208,8 @@
         self._holds[machine.name] = hold
         if self.dispatcher.has_commands(machine):
             self._woken.add(machine.name)  # it leaves after the pass that is due
-        span = _hold_for(machine, self._strain.overloaded)
+        ready = len(self.dispatcher.pool.states[MachineState.READY])
+        span = _hold_for(machine, ready, self._strain.overloaded)
         timer = loop.call_later(span.total_seconds(), _release, hold)
         await hold
         timer.cancel()
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -8,7 +8,7 @@
 
 from gingerspar.coordination.books.ledger import MachineState, Placement, TaskState
 from gingerspar.coordination.books.runs import JobRun
-from gingerspar.coordination.holder.command import HOLD_BUSY, HOLD_IDLE, HOLD_ROUTINE, CommandPost, _hold_for
+from gingerspar.coordination.holder.command import HOLD_BUSY, HOLD_IDLE, CommandPost, _hold_for
 from gingerspar.coordination.holder.dispatcher import Dispatcher
 from gingerspar.coordination.holder.strain import Strain, StrainState
 from gingerspar.coordination.machines.cloud import Cloud, NotEntitled
@@ -140,17 +140,20 @@
     book = Dispatcher(1, timedelta(0), WorkerFacts(report_s=2.5, lease_s=18, cancel_s=43), []).book
     book.set_types([MachineType("big", 16, 64, zones=("a",), price=1.0, boot_s=20)])
     machine = book.add_machine("n-1", "big", "a", False, timedelta(0), MachineState.BOOTING)
-    assert _hold_for(machine, False) == HOLD_IDLE
+    assert _hold_for(machine, 600, False) == HOLD_IDLE
     spec = JobSpec("wk-000001", "c", "red", Shape.ARRAY, Priority.NORMAL, 2, 4.0, 8.0)
     run = JobRun(spec, JobRecord(spec, JobStatus.RUNNING), TaskSet(2), TaskSet(2))
     book.runs[spec.job] = run
     placement = Placement(spec, 0, 1, machine, TaskState.FETCHING, timedelta(0))
     book.enter(run, placement)
-    assert _hold_for(machine, False) == HOLD_BUSY  # it will say when the task runs
+    assert _hold_for(machine, 600, False) == HOLD_BUSY  # it will say when the task runs
     book.move(placement, TaskState.RUNNING, timedelta(1))
-    assert (_hold_for(machine, False), _hold_for(machine, True)) == (HOLD_ROUTINE, HOLD_IDLE)
+    # With few machines nothing is gained by waiting; with many it keeps their reports to 500 a second.
+    assert _hold_for(machine, 30, False) == HOLD_BUSY
+    assert _hold_for(machine, 600, False) == timedelta(seconds=1.2)
+    assert _hold_for(machine, 5000, False) == _hold_for(machine, 30, True) == HOLD_IDLE
     machine.book(spec, 1)
-    assert _hold_for(machine, True) == HOLD_BUSY  # a gang waits for room here
+    assert _hold_for(machine, 600, True) == HOLD_BUSY  # a gang waits for room here
     machine.book(spec, -1)
     book.stop(placement, timedelta(0), timedelta(1))
-    assert _hold_for(machine, True) == HOLD_BUSY  # somebody waits for its end
+    assert _hold_for(machine, 600, True) == HOLD_BUSY  # somebody waits for its end
