--- a/gingerspar/coordination/books/ends.py
+++ b/gingerspar/coordination/books/ends.py
@@ -11,10 +11,9 @@
 from sortedcontainers import SortedList
 
 from gingerspar.coordination.books.ledger import Placement, Usage
+from gingerspar.coordination.books.pool import Offer
 from gingerspar.protocol.messages import JobSpec
 
-Offer = tuple[str, str, bool]  # type, zone, spot
-
 
 class Spans:
     """How long the tasks of each job probably run, worked out once for each."""
--- a/gingerspar/coordination/books/pool.py
+++ b/gingerspar/coordination/books/pool.py
@@ -154,16 +154,6 @@
                 found += [machine for machine in machines.values() if machine.room_for(spec) > 0]
         return found
 
-    def allowed(self, spec: JobSpec) -> list[Machine]:
-        """Ready machines that the job allows, with room or without."""
-        found: list[Machine] = []
-        for offer, buckets in self._room.items():
-            if allows(spec, *offer):
-                for machines in buckets.values():
-                    found += machines.values()
-        self.looked_at += len(found)
-        return found
-
     def ready(self) -> list[tuple[Offer, MachineType, int]]:
         """How many ready machines there are of each type, zone and kind."""
         found: list[tuple[Offer, MachineType, int]] = []
--- a/gingerspar/coordination/placing/room.py
+++ b/gingerspar/coordination/placing/room.py
@@ -96,13 +96,9 @@
         need = self._book.pool.need(spec)
         if any(places.all >= spec.tasks for _, places in need.sums()):
             slots = self._slots(run, need, now)
-            if spec.one_zone:
-                slots = _best_zone(slots, spec.tasks)
             self._take(run, slots[: spec.tasks], now)
         elif self._could_fit(run):
             slots = self._slots(run, need, now) if need.free else []
-            if spec.one_zone:
-                slots = _best_zone(slots, spec.tasks)
             self._take(run, [slot for slot in slots if not slot.victims], now)
 
     def make_among(self, run: JobRun, usable: Callable[[Machine], bool], now: timedelta) -> bool:
@@ -114,8 +110,6 @@
         if not any(places.all >= spec.tasks for _, places in need.sums()):
             return False
         slots = self._slots(run, need, now, usable)
-        if spec.one_zone:
-            slots = _best_zone(slots, spec.tasks)
         if len(slots) < spec.tasks:
             return False
         run.room_sought = now
@@ -125,7 +119,7 @@
     def _slots(
         self, run: JobRun, need: Need, now: timedelta, usable: Callable[[Machine], bool] = _any_machine
     ) -> list[Slot]:
-        """Places for the gang's tasks, those for which least is lost first.
+        """Places for the gang's tasks, those for which least is lost first; of one zone if it needs one.
 
         Only the machines that promise the least loss for each place are gone through task
         by task.
@@ -154,7 +148,7 @@
                         break
             stopping.sort(key=lambda slot: slot.rank)
             slots += stopping
-        return slots
+        return _best_zone(slots, spec.tasks) if spec.one_zone else slots
 
     def _take(self, run: JobRun, slots: list[Slot], now: timedelta) -> None:
         room: dict[Machine, int] = {}
