Small jobs before large ones where nobody sets a time; a lagging class has a share

Ruled out: room from urgent gangs by guarantee (the rendering team has its 800 cards all the time).

Change: without a deadline and without objectives for its class a job is due by its submission plus 120 s for each doubling of its work, in claims and in placing. A class of which less than 0.4 of the jobs that should be done are done gets up to a tenth of the machines from more urgent work (books/service.py). Workers that come to a node while nobody is known to command wait there for up to 2 s.

--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from gingerspar.coordination.books.turns import Turns
 from gingerspar.coordination.holder.command import CommandPost
 from gingerspar.coordination.holder.dispatcher import Dispatcher
 from gingerspar.coordination.holder.keeper import TermKeeper
@@ -38,6 +39,7 @@
 CATALOG_INTERVAL = timedelta(seconds=20)
 NO_STATE = timedelta(seconds=2)  # a node without a read for so long can't write either
 RELAY_AFTER = timedelta(seconds=0.8)  # without a read for so long, a peer may serve users better
+HOLD_UNLED = timedelta(seconds=2)  # workers give an answer up after 4 s
 LINK_SILENT = timedelta(seconds=1.5)
 REDIAL_AFTER = timedelta(seconds=2)
 
@@ -64,7 +66,8 @@
         )
         self._view = WatchedView(self._client, self._clock, rps=facts.state.rps, nodes=facts.size)
         self._session = Session(self._node, self._client, self._view, self._clock, operator.session_ttl)
-        self._claims = Claims(self._node, self._client, self._view, self._session, self._clock, teams, operator)
+        turns = Turns(facts.objectives)
+        self._claims = Claims(self._node, self._client, self._view, self._session, self._clock, teams, operator, turns)
         self._door = FrontDoor(self._client, self._view, self._claims, self._clock, teams)
         self._cloud = Cloud(settings.services.cloud, self._clock, facts.cloud.rps)
         self._link = PeerLink({peer.node: peer.address for peer in settings.peers}, self._hear)
@@ -76,6 +79,7 @@
         self._news: dict[str, PeerNews] = {}
         self._visits = Visits()
         self._counts: dict[str, int] = {}
+        self._unled: set[asyncio.Future[None]] = set()  # reports that came while nobody commanded
         self._keeper = TermKeeper(
             self._node,
             self._client,
@@ -182,16 +186,47 @@
         self._visits.add(report.machine, report.token, self._clock.now())
         if self._post is not None and self._keeper.authority():
             return self._post.report(report)
+        if self._post is None and self._commander() is None:
+            return self._until_commanded(report)
         return self._steer()
 
+    async def _until_commanded(self, report: Report) -> Answer:
+        """Keeps a worker here while nobody is known to command, rather than send it round.
+
+        The next node in its round may be the one that has just ended: that costs it four seconds
+        of its lease, and then another round.
+        """
+        waiting: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._unled.add(waiting)
+        try:
+            await asyncio.wait_for(waiting, HOLD_UNLED.total_seconds())
+        except TimeoutError:
+            pass
+        finally:
+            self._unled.discard(waiting)
+        if self._post is not None and self._keeper.authority():
+            answer = self._post.report(report)
+            return answer if isinstance(answer, Answer) else await answer
+        return self._steer()
+
+    def _lead(self) -> None:
+        """To be called whenever somebody may have begun to command."""
+        if self._unled and (self._post is not None or self._commander() is not None):
+            for waiting in self._unled:
+                if not waiting.done():
+                    waiting.set_result(None)
+
+    def _commander(self) -> str | None:
+        """Another node that seems to command the workers."""
+        holder = self._known_holder()
+        return None if holder is None or holder == self._node or not self._seems_alive(holder) else holder
+
     def _steer(self) -> Answer:
         """What a worker is told by a node that may not command it: who may, if that is known."""
         if self._post is not None and self._known_holder() == self._node:
             return problem(503, "not entitled")
-        holder = self._known_holder()
-        if holder is None or holder == self._node or not self._seems_alive(holder):
-            return Answer(421, messages.encode(Steer()))
-        return Answer(421, messages.encode(Steer(holder)))
+        holder = self._commander()
+        return Answer(421, messages.encode(Steer() if holder is None else Steer(holder)))
 
     def _seems_alive(self, holder: str) -> bool:
         """Heard, or, while connections between controllers are refused, in session."""
@@ -279,6 +314,7 @@
         counted = self._clock.now()
         while True:
             self._mend_links()
+            self._lead()
             self._link.broadcast(
                 peers.pack(
                     peers.Heartbeat(
@@ -336,6 +372,7 @@
                     tuple(message.heard),
                     None if message.up_s is None else self._clock.now() - timedelta(seconds=message.up_s),
                 )
+                self._lead()
             case peers.Counts():
                 if self._view.term is not None and message.term == self._view.term[0].term:
                     self._counts = message.running
--- a/gingerspar/coordination/books/book.py
+++ b/gingerspar/coordination/books/book.py
@@ -23,6 +23,8 @@
 )
 from gingerspar.coordination.books.pool import Offer, Pool, allows
 from gingerspar.coordination.books.runs import Backlog, GangState, JobRun
+from gingerspar.coordination.books.service import FIRST, Services
+from gingerspar.coordination.books.turns import Turns
 from gingerspar.protocol.messages import JobSpec, MachineType, Priority
 from gingerspar.protocol.settings import Objective, TeamFacts
 from gingerspar.storage.records import Order
@@ -59,6 +61,8 @@
 
     def __init__(self, term: int, teams: Iterable[TeamFacts], objectives: Iterable[Objective] = ()) -> None:
         self.term = term
+        objectives = list(objectives)
+        self._turns = Turns(objectives)
         self._finish_within: dict[str, tuple[timedelta, timedelta]] = {}  # by class: first and last aim
         self._late_at: dict[str, float] = {}  # by class: times its deadline
         self._start_within: dict[str, list[timedelta]] = {}  # by class
@@ -81,6 +85,7 @@
         self.pool = Pool()
         self.runs: dict[str, JobRun] = {}
         self.backlog = Backlog()
+        self.services = Services()
         self.usage: dict[str, Usage] = {team: Usage() for team in self.teams}
         self.unsaved: dict[str, JobRun] = {}  # runs with finishes that the record doesn't show yet
         self.ends = Ends()
@@ -138,8 +143,8 @@
         if run is not None:
             run.running += (placement.state in _COUNTED) - before
 
-    def plan(self, run: JobRun, number: int, machine: Machine, now: timedelta) -> None:
-        placement = Placement(run.spec, number, run.record.attempt, machine, TaskState.PLANNED, now)
+    def plan(self, run: JobRun, number: int, machine: Machine, now: timedelta, *, shielded: bool = False) -> None:
+        placement = Placement(run.spec, number, run.record.attempt, machine, TaskState.PLANNED, now, shielded=shielded)
         run.used_attempt = max(run.used_attempt, run.record.attempt)
         self.enter(run, placement)
         self.wake(machine)
@@ -153,6 +158,7 @@
         if placement.running_since is not None:
             self.ends.started(placement)
         self.usage.setdefault(placement.spec.team, Usage()).add(placement.spec)
+        self.services.entered(placement)
 
     def _leave(self, placement: Placement) -> JobRun:
         """Takes an ended placement off the books."""
@@ -166,6 +172,7 @@
             if not run.over and placement.number not in run.finished and placement.number < run.spec.tasks:
                 run.open.add(placement.number)
         self.usage[placement.spec.team].add(placement.spec, -1)
+        self.services.ended(placement)
         if run.over and not run.places:
             self.runs.pop(placement.job, None)
         return run
@@ -271,7 +278,15 @@
         left = run.submitted + within - now - START_UP - self.estimates.run_time(run.spec) * OVERRUN
         return max(left * SPENT_ON_WAITING, NOTHING)
 
+    def look_at_services(self, now: timedelta) -> None:
+        self.services.look(self.runs.values(), self.pool, self.backlog, now)
+
     def order(self, run: JobRun, now: timedelta) -> Order:
+        """As ``_order``, but first of all where its class lags behind and its share is not used up."""
+        order = self._order(run, now)
+        return (FIRST, *order[1:]) if self.services.first(run) and self.services.left(run) else order
+
+    def _order(self, run: JobRun, now: timedelta) -> Order:
         """Priority, then earliest due.
 
         Work that can't be in time any more comes after what can. A job without a deadline
@@ -291,7 +306,7 @@
         waited = now - run.submitted + LEAST_START
         within = min((within for within in starts if within > waited), default=None)
         if within is None:
-            return run.record.order
+            return self._turns.order(run.record, run.spec.tasks - len(run.finished))
         return (rank, UNDUE + submitted + within.total_seconds(), submitted, job)
 
     def lateness(self, run: JobRun, now: timedelta) -> int:
--- a/gingerspar/coordination/books/ledger.py
+++ b/gingerspar/coordination/books/ledger.py
@@ -75,6 +75,7 @@
     told_directly: timedelta | None = None  # grace of the stop that was sent outside of reports
     cause: Cause | None = None
     running_since: timedelta | None = None
+    shielded: bool = False  # has its place by its class's share: more urgent work does not stop it
     name: str = field(init=False)  # as reports and commands have it
 
     def __post_init__(self) -> None:
@@ -88,6 +89,11 @@
     def id(self) -> TaskId:
         return (self.spec.job, self.number)
 
+    @property
+    def rank(self) -> int:
+        """Less urgent work is stopped for work of a lower rank."""
+        return 0 if self.shielded else self.spec.priority.rank
+
     @property
     def live(self) -> bool:
         """It is, or may be, on the machine."""
@@ -260,7 +266,7 @@
     def take(self, placement: Placement) -> None:
         self.live[(placement.job, placement.number, placement.attempt)] = placement
         self.used.add(placement.spec)
-        self.shares[placement.spec.priority.rank].add(placement.spec)
+        self.shares[placement.rank].add(placement.spec)
         self.idle_since = None
         self.outlook = None
         self.changed(self, False)
@@ -268,7 +274,7 @@
     def release(self, placement: Placement) -> None:
         if self.live.pop((placement.job, placement.number, placement.attempt), None) is not None:
             self.used.add(placement.spec, -1)
-            self.shares[placement.spec.priority.rank].add(placement.spec, -1)
+            self.shares[placement.rank].add(placement.spec, -1)
             self.outlook = None
             if not self.live:
                 self.used, self.shares = Usage(), _empty_shares()  # no rounding left over
@@ -311,7 +317,7 @@
                 if span is None:
                     span = spans[spec.job] = run_time(spec)
                     longest = max(longest, span)
-                weights[spec.priority.rank].add(placement)
+                weights[placement.rank].add(placement)
                 since = placement.running_since
                 if since is None:
                     longest_ahead = max(longest_ahead, span)
--- /dev/null
+++ b/gingerspar/coordination/books/service.py
@@ -0,0 +1,126 @@
+"""How far each class of jobs is served, and what a class that falls far behind gets.
+
+Priority says who goes first, and with more urgent work than room it leaves routine work nothing at all.
+The operators count a day as failed on which less than half of any class is served. So a class that has
+fallen far behind gets a stated, small share of the machines that more urgent work keeps from it, until
+it has caught up.
+"""
+
+import logging
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+
+from gingerspar.coordination.books.ledger import Machine, Placement, resource_weight
+from gingerspar.coordination.books.pool import Offer, Pool, allows
+from gingerspar.coordination.books.runs import JobRun
+from gingerspar.protocol.messages import Shape
+
+log = logging.getLogger(__name__)
+
+LAGGING_BELOW = 0.4  # of the jobs that should be done by now
+SERVED_FROM = 0.55
+LEAST_JOBS = 20  # fewer say nothing yet
+PATIENCE = timedelta(seconds=60)  # a job that has waited longer than this and twice its run time should be done
+SHARE = 0.1  # of all ready machines, for all lagging classes together
+FIRST = -1  # before all priorities
+
+
+class ServiceState(Enum):
+    SERVED = "served"
+    LAGGING = "lagging"
+
+
+@dataclass(slots=True)
+class Service:
+    """What is known of one class."""
+
+    state: ServiceState = ServiceState.SERVED
+    done: int = 0
+    overdue: int = 0  # unfinished, though they should be done by now
+    worst: int = 0  # rank of its most urgent job that waits
+    kept_from: frozenset[Offer] = frozenset()  # sorts of machine that more urgent work waits for as well
+
+
+@dataclass(slots=True)
+class Services:
+    """All classes of one term; counts begin with what the records tell of jobs that are over."""
+
+    classes: dict[str, Service] = field(default_factory=dict)
+    weight: float = 0.0  # of all ready machines
+    held: float = 0.0  # of what runs within the share
+
+    def over(self, jobclass: str, done: bool) -> None:
+        """A job of the class is over; cancelled ones don't count."""
+        if done:
+            self.classes.setdefault(jobclass, Service()).done += 1
+
+    def look(self, runs: Iterable[JobRun], pool: Pool, waiting: Iterable[JobRun], now: timedelta) -> None:
+        """Counts anew; to be called now and then."""
+        for service in self.classes.values():
+            service.overdue = 0
+        for run in runs:
+            endless = run.spec.shape is Shape.SERVICE
+            if not run.over and not endless and now - run.submitted > PATIENCE + 2 * run.spec.estimate:
+                self.classes.setdefault(run.spec.jobclass, Service()).overdue += 1
+        for name, service in self.classes.items():
+            self._judge(name, service)
+        ready = pool.ready()
+        self.weight = sum(count * (kind.cpus + 10 * kind.gpus) for _, kind, count in ready)
+        lagging = self.lagging()
+        if lagging:
+            offers = [offer for offer, _, _ in ready]
+            self._sort_out(lagging, offers, list(waiting))
+
+    def lagging(self) -> dict[str, Service]:
+        return {name: each for name, each in self.classes.items() if each.state is ServiceState.LAGGING}
+
+    def _judge(self, name: str, service: Service) -> None:
+        counted = service.done + service.overdue
+        share = service.done / counted if counted else 1.0
+        if service.state is ServiceState.SERVED and counted >= LEAST_JOBS and share < LAGGING_BELOW:
+            self._move(name, service, ServiceState.LAGGING)
+        elif service.state is ServiceState.LAGGING and share >= SERVED_FROM:
+            self._move(name, service, ServiceState.SERVED)
+
+    @staticmethod
+    def _move(name: str, service: Service, state: ServiceState) -> None:
+        """The only place where a class's state changes."""
+        log.info(
+            "class %s: %s -> %s, %d jobs done, %d overdue",
+            name, service.state.value, state.value, service.done, service.overdue,
+        )  # fmt: skip
+        service.state = state
+
+    @staticmethod
+    def _sort_out(lagging: dict[str, Service], offers: list[Offer], waiting: list[JobRun]) -> None:
+        """Which sorts of machine more urgent work of other classes keeps from each lagging class."""
+        for name, service in lagging.items():
+            own = [run.spec.priority.rank for run in waiting if run.spec.jobclass == name]
+            service.worst = min(own, default=0)
+            above = [run.spec for run in waiting if run.spec.priority.rank < service.worst]
+            service.kept_from = frozenset(offer for offer in offers if any(allows(spec, *offer) for spec in above))
+
+    def first(self, run: JobRun) -> bool:
+        """Whether the job goes before more urgent work, as far as the share reaches."""
+        service = self.classes.get(run.spec.jobclass)
+        return service is not None and service.state is ServiceState.LAGGING and not run.gangs
+
+    def contended(self, run: JobRun, machine: Machine) -> bool:
+        """Whether a place there would be taken from more urgent work that waits."""
+        service = self.classes.get(run.spec.jobclass)
+        return service is not None and (machine.type, machine.zone, machine.spot) in service.kept_from
+
+    def left(self, run: JobRun) -> int:
+        """Tasks of the job that the share still takes."""
+        weight = resource_weight(run.spec)
+        return max(int((self.weight * SHARE - self.held) / weight), 0) if weight > 0 else 0
+
+    def entered(self, placement: Placement) -> None:
+        if placement.shielded:
+            self.held += resource_weight(placement.spec)
+
+    def ended(self, placement: Placement) -> None:
+        if placement.shielded:
+            self.held = max(self.held - resource_weight(placement.spec), 0.0)
--- a/gingerspar/coordination/holder/command.py
+++ b/gingerspar/coordination/holder/command.py
@@ -18,6 +18,7 @@
 from gingerspar.protocol import messages, names
 from gingerspar.protocol.messages import (
     DirectCommands,
+    JobStatus,
     MachineStatus,
     MachineType,
     Malformed,
@@ -135,6 +136,9 @@
 
     def start(self, types: list[MachineType]) -> None:
         self.dispatcher.set_types(types)
+        for final in self._view.final.values():
+            if final.spec is not None:
+                self.dispatcher.book.services.over(final.spec.jobclass, final.status is JobStatus.DONE)
         for job in self._view.jobs:
             self._record_changed(job)
         log.info(
@@ -162,7 +166,8 @@
         entry = self._view.jobs.get(job)
         now = self._clock.now()
         if entry is None:
-            self.dispatcher.set_record(job, None, None, now)
+            done = self._view.status_of(job) is JobStatus.DONE
+            self.dispatcher.set_record(job, None, None, now, done=done)
         else:
             self.dispatcher.set_record(job, entry.record, entry.finished, now)
         self._work.set()
--- a/gingerspar/coordination/holder/dispatcher.py
+++ b/gingerspar/coordination/holder/dispatcher.py
@@ -98,11 +98,15 @@
         self.book.set_types(types)
         self.dirty = True
 
-    def set_record(self, job: str, record: JobRecord | None, finished: TaskSet | None, now: timedelta) -> None:
-        """A new version of a record; None: the job is done or cancelled."""
+    def set_record(
+        self, job: str, record: JobRecord | None, finished: TaskSet | None, now: timedelta, *, done: bool = False
+    ) -> None:
+        """A new version of a record; None: the job is over, ``done`` or cancelled."""
         run = self.runs.get(job)
         self.dirty = True
         if record is None or finished is None:
+            if run is not None and not run.over:
+                self.book.services.over(run.spec.jobclass, done)
             if run is not None:
                 self.book.end(run, now)
             return
--- a/gingerspar/coordination/holder/keeper.py
+++ b/gingerspar/coordination/holder/keeper.py
@@ -67,6 +67,7 @@
         self._lonely_since: timedelta | None = None
         self._resigned_since = self._started
         self._own_term = 0  # the last one that this process held
+        self._had_authority = False
         self._heard: Callable[[str], bool] = lambda node: False
         self._types: Callable[[], list[MachineType]] = list
         self._make_post: Callable[[Dispatcher], CommandPost]
@@ -153,11 +154,19 @@
             link_up=holder in self._news and holder is not None and self._link.up(holder),
         )
 
+    def _watch_authority(self) -> None:
+        """The end of a holder's authority is nobody's decision, so it is looked for; it may come back."""
+        has = self.post is not None and self.authority()
+        if self.post is not None and has != self._had_authority:
+            log.info("term %d: authority %s", self.post.dispatcher.term, "is back" if has else "has run out")
+        self._had_authority = has or self.post is None
+
     async def keep(self) -> None:
         while True:
             await self._strain.sleep(TERM_CHECK)  # its timer is also the pulse
             if self._view.phase is not Phase.FOLLOWING:
                 continue
+            self._watch_authority()
             knowledge = self._knowledge()
             resigning = reason_to_resign(knowledge)
             if resigning is not None:
--- a/gingerspar/coordination/jobs/claims.py
+++ b/gingerspar/coordination/jobs/claims.py
@@ -14,6 +14,7 @@
 import msgspec
 from sortedcontainers import SortedDict
 
+from gingerspar.coordination.books.turns import Turns
 from gingerspar.coordination.membership.session import Session
 from gingerspar.protocol.messages import JobStatus, KeyVersion, Put, Shape, Transaction
 from gingerspar.protocol.settings import OperatorSettings, TeamFacts
@@ -167,6 +168,7 @@
         clock: Clock,
         teams: dict[str, TeamFacts],
         settings: OperatorSettings,
+        turns: Turns,
     ) -> None:
         self._node = node
         self._client = client
@@ -175,6 +177,7 @@
         self._clock = clock
         self._teams = teams
         self._settings = settings
+        self._turns = turns
         self._pending: SortedDict[tuple[int, float, float, str], str] = SortedDict()
         self._orders: dict[str, tuple[int, float, float, str]] = {}
         self._since: dict[str, timedelta] = {}
@@ -194,7 +197,7 @@
         self._held.see(job, entry)
         if entry is not None and entry.record.status is JobStatus.PENDING:
             if job not in self._orders:
-                order = entry.record.order
+                order = self._turns.order(entry.record)
                 self._orders[job] = order
                 self._pending[order] = job
                 self._since[job] = self._clock.now()
--- a/gingerspar/coordination/membership/term.py
+++ b/gingerspar/coordination/membership/term.py
@@ -85,6 +85,7 @@
 # (kerlann-fonts-fleet loss: two changes of term in a minute of slow answers).
 STALE_HOLDER = timedelta(seconds=4)
 NO_WORKERS = timedelta(seconds=5)
+NO_WORKERS_LEFT = timedelta(seconds=1)  # where those that come here are the holder's own
 STAGGER = timedelta(milliseconds=500)
 SAME_AGE = timedelta(seconds=5)  # processes that began within it are taken to be as old
 SETTLING_IN = timedelta(seconds=4)  # a new holder gets this long before it is judged
@@ -122,8 +123,13 @@
     if not news.dispatching and news.term >= k.term:
         return _in_turn(k, "the holder gave up", k.now - silence)
     # For a while, not at one moment: a first worker comes here before it is steered there.
-    if k.lonely_since is not None and k.now - max(k.lonely_since, k.term_seen) > NO_WORKERS:
-        return _in_turn(k, "workers reach this node and not the holder", k.lonely_since + NO_WORKERS)
+    # Workers that the holder had need less of it: when the holder is cut off from them and the state
+    # service goes out some seconds later, there is no other chance to keep their tasks (combinations
+    # 56 and 282: 98 of 117 tasks were killed by their leases).
+    if k.lonely_since is not None:
+        enough = NO_WORKERS_LEFT if k.deserters >= k.deserters_needed else NO_WORKERS
+        if k.now - max(k.lonely_since, k.term_seen) > enough:
+            return _in_turn(k, "workers reach this node and not the holder", k.lonely_since + enough)
     return None
 
 
--- a/gingerspar/coordination/placing/placer.py
+++ b/gingerspar/coordination/placing/placer.py
@@ -8,6 +8,7 @@
 from gingerspar.coordination.books.ledger import Machine, fits
 from gingerspar.coordination.books.pool import ROUNDING, Offer, allows
 from gingerspar.coordination.books.runs import Family, GangState, JobRun, Least
+from gingerspar.coordination.books.service import FIRST
 from gingerspar.coordination.placing import placement as placing
 from gingerspar.coordination.placing.room import RoomMaker
 from gingerspar.protocol.messages import JobSpec, Priority
@@ -90,6 +91,7 @@
         backlog.due(now)
         if now - self._looked_again >= LOOK_AGAIN:
             self._looked_again = now
+            book.look_at_services(now)
             for run in backlog:
                 backlog.reorder(run, book.order(run, now))
             backlog.look_again()
@@ -241,8 +243,12 @@
         if len(run.open) < sum(machine.room_for(spec) for machine in machines):
             machines = placing.ranked(machines, placing.Scorer(spec, book.types, now))
         attempt, left = run.record.attempt, team_room
+        before_others = run.order[0] == FIRST
         for machine in machines:
             room = machine.room_for(spec)
+            shielded = before_others and book.services.contended(run, machine)
+            if shielded:
+                room = min(room, book.services.left(run))  # the rest is for more urgent work
             for number in list(run.open[: room + len(machine.exited)]):
                 if left <= 0 or room <= 0 or (zones is not None and zones[machine.zone] <= 0):
                     break
@@ -250,7 +256,7 @@
                     continue  # it still lists this attempt as exited and would ignore its `run`
                 if careful and machine.kind is not None and machine.kind.gpus and not self._spare(spec, machine):
                     break
-                book.plan(run, number, machine, now)
+                book.plan(run, number, machine, now, shielded=shielded)
                 left -= 1
                 room -= 1
                 if zones is not None:
--- a/gingerspar/coordination/placing/room.py
+++ b/gingerspar/coordination/placing/room.py
@@ -181,7 +181,7 @@
     def _by_stopping(self, run: JobRun, machine: Machine, now: timedelta) -> list[Slot]:
         """Places for tasks of the gang on one machine, each with what must be stopped for it."""
         spec = run.spec
-        victims = [p for p in machine.live.values() if p.spec.priority.rank > spec.priority.rank]
+        victims = [p for p in machine.live.values() if p.rank > spec.priority.rank]
         victims.sort(key=lambda p: (p.stop is None, lost_work(p, now)))
         cpus, gpus, memory = machine.free()
         found: list[Slot] = []
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from gingerspar.coordination.books.turns import Turns
 from gingerspar.coordination.jobs.claims import Change, Claims, Held, claimed, with_results
 from gingerspar.coordination.jobs.reconciler import lapsed
 from gingerspar.protocol import messages
@@ -71,7 +72,7 @@
             return True
 
         view.barrier = barrier  # type: ignore[method-assign]
-        claims = Claims(node, client, view, session, Clock(), {}, OperatorSettings())
+        claims = Claims(node, client, view, session, Clock(), {}, OperatorSettings(), Turns())
         claims.accepted("wk-000001")
         view.on_job.append(claims._job_changed)
         claims._job_changed("wk-000001")
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -83,6 +83,11 @@
         {"peers": {"n1": news(workers=0)}, "workers": 1, "lonely_since": s(99.5)},
         False,
     ),
+    # Combinations 56 and 282: the state service was gone before five seconds were over.
+    "workers that the holder had come here and none reach it": (
+        {"peers": {"n1": news(workers=0)}, "workers": 4, "deserters": 3, "lonely_since": s(98.8)},
+        True,
+    ),
     "workers have reached only this node for a while": (
         {"peers": {"n1": news(workers=0)}, "workers": 4, "lonely_since": s(92)},
         True,
