--- a/gingerspar/coordination/books/service.py
+++ b/gingerspar/coordination/books/service.py
@@ -19,11 +19,11 @@
 
 log = logging.getLogger(__name__)
 
-LAGGING_BELOW = 0.4  # of the jobs that should be done by now
-SERVED_FROM = 0.55
+LAGGING_BELOW = 0.5  # of the jobs that should be done by now
+SERVED_FROM = 0.65
 LEAST_JOBS = 20  # fewer say nothing yet
 PATIENCE = timedelta(seconds=60)  # a job that has waited longer than this and twice its run time should be done
-SHARE = 0.1  # of all ready machines, for all lagging classes together
+SHARE = 0.2  # of all ready machines, for all lagging classes together
 FIRST = -1  # before all priorities
 
 
