--- a/tests/standins/cloud.py
+++ b/tests/standins/cloud.py
@@ -80,7 +80,8 @@
     loop = asyncio.get_running_loop()
     end = loop.time() + seconds
     while loop.time() < end:
-        if await condition() if asyncio.iscoroutinefunction(condition) else condition():
+        found = condition()
+        if await found if asyncio.iscoroutine(found) else found:
             return True
         await asyncio.sleep(0.05)
     return False
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -107,6 +107,10 @@
         finally:
             client.close()
 
+    async def accepts(self, name: str, number: int) -> bool:
+        status, _ = await self.ask(name, "POST", "/v1/jobs", job(number))
+        return status in (200, 201)
+
     def holder(self) -> str | None:
         record = self.state.keys.get("gs/term")
         return record[0]["holder"] if record is not None else None
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -16,12 +16,7 @@
     cluster = Cluster()
     cluster.start()
     try:
-
-        async def up() -> bool:
-            status, _ = await cluster.ask("n0", "POST", "/v1/jobs", job(1))
-            return status in (200, 201)
-
-        assert await settle(up, 10), "no job was accepted"
+        assert await settle(lambda: cluster.accepts("n0", 1), 10), "no job was accepted"
 
         # What can't be taken.
         assert (await cluster.ask("n1", "POST", "/v1/jobs", b"{"))[0] == 400
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -71,7 +71,7 @@
 
 
 def test_a_class_that_lags_gets_its_share_and_no_more() -> None:
-    """everything-thrice-kerlann: urgent gangs had all ordinary machines, and rendering none of them for minutes."""
+    """bench/days/cheap-machines-gone-kerlann: urgent gangs had all ordinary machines, rendering none for minutes."""
     crowd = Crowded()
     assert (crowd.running("urgent"), crowd.running("routine")) == (MACHINES, 0)
     crowd.pass_at(70)
--- a/tests/test_two_troubles.py
+++ b/tests/test_two_troubles.py
@@ -3,19 +3,14 @@
 import asyncio
 
 from tests.standins.cloud import settle
-from tests.standins.cluster import NAMES, Cluster, job
+from tests.standins.cluster import NAMES, Cluster
 
 
 async def _four_refused_then_outage() -> None:
     cluster = Cluster(run_seconds=60)
     cluster.start()
     try:
-
-        async def up() -> bool:
-            status, _ = await cluster.ask("n0", "POST", "/v1/jobs", job(1))
-            return status in (200, 201)
-
-        assert await settle(up, 10), "no job was accepted"
+        assert await settle(lambda: cluster.accepts("n0", 1), 10), "no job was accepted"
         assert await settle(lambda: len(cluster.cloud.tasks()) == 3, 15), "the job did not start"
         holder = cluster.holder()
         assert holder is not None
