--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -31,6 +31,7 @@
 from gingerspar.transport.clock import Clock
 from gingerspar.transport.peerlink import PeerLink
 from gingerspar.transport.server import Answer, Request, Server
+from gingerspar.transport.waits import within
 
 log = logging.getLogger(__name__)
 
@@ -79,7 +80,7 @@
         self._news: dict[str, PeerNews] = {}
         self._visits = Visits()
         self._counts: dict[str, int] = {}
-        self._unled: set[asyncio.Future[None]] = set()  # reports that came while nobody commanded
+        self._led = asyncio.Event()  # what reports wait for that came while nobody commanded
         self._keeper = TermKeeper(
             self._node,
             self._client,
@@ -196,14 +197,7 @@
         The next node in its round may be the one that has just ended: that costs it four seconds
         of its lease, and then another round.
         """
-        waiting: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._unled.add(waiting)
-        try:
-            await asyncio.wait_for(waiting, HOLD_UNLED.total_seconds())
-        except TimeoutError:
-            pass
-        finally:
-            self._unled.discard(waiting)
+        await within(self._led, HOLD_UNLED)
         if self._post is not None and self._keeper.authority():
             answer = self._post.report(report)
             return answer if isinstance(answer, Answer) else await answer
@@ -211,10 +205,9 @@
 
     def _lead(self) -> None:
         """To be called whenever somebody may have begun to command."""
-        if self._unled and (self._post is not None or self._commander() is not None):
-            for waiting in self._unled:
-                if not waiting.done():
-                    waiting.set_result(None)
+        if self._post is not None or self._commander() is not None:
+            self._led.set()
+            self._led = asyncio.Event()  # for those that come once nobody commands any more
 
     def _commander(self) -> str | None:
         """Another node that seems to command the workers."""
--- a/gingerspar/coordination/books/ledger.py
+++ b/gingerspar/coordination/books/ledger.py
@@ -173,9 +173,9 @@
     return kind.cost(spot) / count if count else math.inf
 
 
-def resource_weight(spec: JobSpec) -> float:
-    """How much of a machine a task takes, in processors; an accelerator counts for ten."""
-    return spec.cpus + 10 * spec.gpus
+def resource_weight(amounts: JobSpec | MachineType) -> float:
+    """What a task takes or a machine has, in processors; an accelerator counts for ten."""
+    return amounts.cpus + 10 * amounts.gpus
 
 
 @dataclass(slots=True)
--- a/gingerspar/coordination/books/service.py
+++ b/gingerspar/coordination/books/service.py
@@ -39,7 +39,6 @@
     state: ServiceState = ServiceState.SERVED
     done: int = 0
     overdue: int = 0  # unfinished, though they should be done by now
-    worst: int = 0  # rank of its most urgent job that waits
     kept_from: frozenset[Offer] = frozenset()  # sorts of machine that more urgent work waits for as well
 
 
@@ -67,7 +66,7 @@
         for name, service in self.classes.items():
             self._judge(name, service)
         ready = pool.ready()
-        self.weight = sum(count * (kind.cpus + 10 * kind.gpus) for _, kind, count in ready)
+        self.weight = sum(count * resource_weight(kind) for _, kind, count in ready)
         lagging = self.lagging()
         if lagging:
             offers = [offer for offer, _, _ in ready]
@@ -97,9 +96,8 @@
     def _sort_out(lagging: dict[str, Service], offers: list[Offer], waiting: list[JobRun]) -> None:
         """Which sorts of machine more urgent work of other classes keeps from each lagging class."""
         for name, service in lagging.items():
-            own = [run.spec.priority.rank for run in waiting if run.spec.jobclass == name]
-            service.worst = min(own, default=0)
-            above = [run.spec for run in waiting if run.spec.priority.rank < service.worst]
+            most_urgent = min((run.spec.priority.rank for run in waiting if run.spec.jobclass == name), default=0)
+            above = [run.spec for run in waiting if run.spec.priority.rank < most_urgent]
             service.kept_from = frozenset(offer for offer in offers if any(allows(spec, *offer) for spec in above))
 
     def first(self, run: JobRun) -> bool:
--- a/gingerspar/coordination/books/turns.py
+++ b/gingerspar/coordination/books/turns.py
@@ -27,9 +27,9 @@
 
     def order(self, record: JobRecord, left: int | None = None) -> Order:
         """``left``: tasks that are not done yet, if that is known better than by the record."""
-        rank, due, submitted, job = record.order
         spec = record.spec
         if spec.due_s is not None or spec.jobclass in self._asked:
-            return (rank, due, submitted, job)
+            return record.order
+        rank, due, submitted, job = record.order
         work = max(1.0, (spec.tasks if left is None else left) * spec.estimate_s)
         return (rank, due, submitted + PER_DOUBLING.total_seconds() * math.log2(work), job)
