Who reaches the workers takes the term, and a holder that reaches none is replaced

Change: a node that doubts the holder, or a holder that hears nobody, asks three machines for their status every half second (membership/reach.py; the holder tells its peers addresses once a second). UNKNOWN, REACHES and CUT OFF go with the heartbeats; turns are taken by them first. A holder that has asked in vain is replaced by one that reaches some, without the time for settling in, and no worker is sent to it.

--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -18,6 +18,7 @@
 from gingerspar.coordination.jobs.reconciler import Reconciler
 from gingerspar.coordination.jobs.relay import Relays
 from gingerspar.coordination.machines.cloud import Cloud, CloudTrouble, NoCapacity
+from gingerspar.coordination.membership.reach import Prober, Reach
 from gingerspar.coordination.membership.session import Session
 from gingerspar.coordination.membership.term import PeerNews
 from gingerspar.coordination.membership.visits import Visits
@@ -79,6 +80,8 @@
         self._types: list[MachineType] = []
         self._news: dict[str, PeerNews] = {}
         self._visits = Visits()
+        self._reach = Reach(self._visits)
+        self._sample: list[str] = []  # addresses of machines that the holder told of
         self._counts: dict[str, int] = {}
         self._led = asyncio.Event()  # what reports wait for that came while nobody commanded
         self._keeper = TermKeeper(
@@ -89,11 +92,13 @@
             self._clock,
             facts,
             self._visits,
+            self._reach,
             self._news,
             self._link,
             self._strain,
         )
         self._keeper.use(self._peer_heard, lambda: self._types, self._make_post)
+        self._prober = Prober(self._reach, self._clock, self._keeper.doubts, self._machines_to_ask)
         self._reconciler = Reconciler(
             self._client, self._view, self._session, self._keeper.dispatching, operator.sweep_batch
         )
@@ -118,6 +123,7 @@
             self._door.run_submissions(),
             self._reconciler.run(),
             self._keeper.keep(),
+            self._prober.keep(),
             self._beat(),
             self._keep_catalog(),
         ]
@@ -212,7 +218,13 @@
     def _commander(self) -> str | None:
         """Another node that seems to command the workers."""
         holder = self._known_holder()
-        return None if holder is None or holder == self._node or not self._seems_alive(holder) else holder
+        if holder is None or holder == self._node or not self._seems_alive(holder):
+            return None
+        # One that has asked its machines in vain is replaced within a second or two: a worker sent there
+        # would lose four seconds of its lease.
+        news = self._news.get(holder)
+        cut_off = news is not None and news.reaches is False and self._peer_heard(holder)
+        return None if cut_off else holder
 
     def _steer(self) -> Answer:
         """What a worker is told by a node that may not command it: who may, if that is known."""
@@ -320,6 +332,7 @@
                         # What this node can't write now is left to those that can.
                         self._client.write_demand if self._view.age() < NO_STATE else 0.0,
                         (self._clock.now() - self._began).total_seconds(),
+                        self._reach.known,
                     )
                 )
             )
@@ -329,7 +342,12 @@
                 counted = now
                 self._link.broadcast(
                     peers.pack(
-                        peers.Counts(self._node, self._post.dispatcher.term, self._post.dispatcher.running_counts())
+                        peers.Counts(
+                            self._node,
+                            self._post.dispatcher.term,
+                            self._post.dispatcher.running_counts(),
+                            self._post.sample(),
+                        )
                     )
                 )
             await asyncio.sleep(HEARTBEAT.total_seconds())
@@ -364,11 +382,13 @@
                     message.writes,
                     tuple(message.heard),
                     None if message.up_s is None else self._clock.now() - timedelta(seconds=message.up_s),
+                    message.reaches,
                 )
                 self._lead()
             case peers.Counts():
                 if self._view.term is not None and message.term == self._view.term[0].term:
                     self._counts = message.running
+                    self._sample = message.addresses
             case peers.Handover():
                 # Committed data with its version, so it may go straight into the view.
                 self._view.apply(message.key, bytes(message.record), message.version)
@@ -381,6 +401,9 @@
             case peers.Reclaim():
                 self._claims.reclaim(message.job, message.attempt)
 
+    def _machines_to_ask(self) -> list[str]:
+        return self._post.sample() if self._post is not None else self._sample
+
     def _running(self, job: str) -> int:
         return self._post.dispatcher.running_count(job) if self._post is not None else self._counts.get(job, 0)
 
--- a/gingerspar/coordination/holder/command.py
+++ b/gingerspar/coordination/holder/command.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Awaitable, Callable, Coroutine
 from datetime import timedelta
 from typing import Any
@@ -46,6 +47,7 @@
 TICK = timedelta(milliseconds=250)
 PASS_PAUSE = timedelta(milliseconds=40)  # between two placing passes: what comes together is looked at together
 SUMMARY = timedelta(seconds=5)
+SAMPLE = 6  # machines that peers are told of
 RETIRED_FOR = timedelta(minutes=2)  # far longer than the machine list lags
 HOLD_IDLE = timedelta(seconds=2)  # workers give an answer up after 4 s
 HOLD_BUSY = timedelta(milliseconds=200)  # a worker with tasks has news of its own to tell
@@ -121,6 +123,7 @@
         self._refusals = fleet.Refusals()
         self._spare = fleet.Spare()
         self._rentals = 0
+        self._random = random.Random()
         self._said = clock.now()
         self._renting: set[Offer] = set()
         self._retired: dict[str, timedelta] = {}  # given back: lists may show them for a while
@@ -172,6 +175,11 @@
             self.dispatcher.set_record(job, entry.record, entry.finished, now)
         self._work.set()
 
+    def sample(self) -> list[str]:
+        """Addresses of a few machines that report here, for whoever has to know whether it reaches them."""
+        ready = list(self.dispatcher.pool.states[MachineState.READY].values())
+        return [machine.address for machine in self._random.sample(ready, min(SAMPLE, len(ready))) if machine.address]
+
     def set_types(self, types: list[MachineType]) -> None:
         self.dispatcher.set_types(types)
         self._work.set()
--- a/gingerspar/coordination/holder/keeper.py
+++ b/gingerspar/coordination/holder/keeper.py
@@ -7,8 +7,11 @@
 from gingerspar.coordination.holder.command import CommandPost
 from gingerspar.coordination.holder.dispatcher import Dispatcher
 from gingerspar.coordination.holder.strain import Strain
+from gingerspar.coordination.membership.reach import Reach
 from gingerspar.coordination.membership.session import Session
 from gingerspar.coordination.membership.term import (
+    FRESH,
+    SILENT,
     Knowledge,
     PeerNews,
     TermState,
@@ -30,6 +33,7 @@
 log = logging.getLogger(__name__)
 
 TERM_CHECK = timedelta(milliseconds=100)
+QUIET = timedelta(seconds=1)  # a holder that hears no worker for so long asks whether it could
 MOST_DESERTERS = 4  # so many workers are enough to show that the holder doesn't answer
 
 
@@ -45,6 +49,7 @@
         clock: Clock,
         facts: Facts,
         visits: Visits,
+        reach: Reach,
         news: dict[str, PeerNews],
         link: PeerLink,
         strain: Strain,
@@ -57,6 +62,7 @@
         self._clock = clock
         self._facts = facts
         self._visits = visits
+        self._reach = reach
         self._news = news
         self._link = link
         self._strain = strain
@@ -65,6 +71,7 @@
         self._started = clock.now()
         self._term_seen = self._started
         self._lonely_since: timedelta | None = None
+        self._cut_off: tuple[str, int, timedelta] | None = None  # holder, term, and since when it reaches no workers
         self._resigned_since = self._started
         self._own_term = 0  # the last one that this process held
         self._had_authority = False
@@ -128,6 +135,31 @@
             self._lonely_since = self._clock.now()
         return self._lonely_since
 
+    def _holder_cut_off(self, holder: str | None, term: int) -> timedelta | None:
+        """Since when the holder of this term has said that it reaches no workers."""
+        news = self._news.get(holder) if holder is not None else None
+        if holder is None or news is None or news.reaches is not False or news.term != term:
+            self._cut_off = None
+            return None
+        if self._cut_off is None or self._cut_off[:2] != (holder, term):
+            self._cut_off = (holder, term, self._clock.now())
+        return self._cut_off[2]
+
+    def doubts(self) -> bool:
+        """Whether it is worth asking machines if this node reaches them.
+
+        The holder does once it hears nothing, the others once there is something about the holder
+        that may make them take the term.
+        """
+        now = self._clock.now()
+        if self.post is not None:
+            return self._visits.last is None or now - self._visits.last > QUIET
+        term = self._view.term
+        news = self._news.get(term[0].holder) if term is not None else None
+        if news is None or now - news.heard > SILENT:
+            return True
+        return news.state_age > FRESH or not news.dispatching or news.reaches is False
+
     def _knowledge(self) -> Knowledge:
         term = self._view.term
         record = term[0] if term is not None else None
@@ -151,6 +183,8 @@
             live_nodes=list(self._view.nodes),
             peers=self._news,
             lonely_since=self._lonely(holder),
+            reach=self._reach.look(self._clock.now()),
+            cut_off_since=self._holder_cut_off(holder, record.term if record is not None else 0),
             link_up=holder in self._news and holder is not None and self._link.up(holder),
         )
 
--- /dev/null
+++ b/gingerspar/coordination/membership/reach.py
@@ -0,0 +1,133 @@
+"""Whether this node reaches the workers: what comes in shows it, and where nothing does, it asks.
+
+While the holder is well all workers report to it, and no other node can tell from what it
+hears whether it could command them. On kerlann-fonts-fleet the holder lost the state
+service, and a second later it and three others lost the workers; the term went to one of
+those, and the only node with all its links took it 22 s later, past the workers' lease.
+So a node that doubts the holder, or a holder that hears nothing, asks a few machines for
+their status. It changes nothing there and renews no lease.
+"""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+from enum import Enum
+
+from gingerspar.coordination.membership.visits import Visits
+from gingerspar.protocol import names
+from gingerspar.transport.client import Client, Unanswered
+from gingerspar.transport.clock import Clock
+
+log = logging.getLogger(__name__)
+
+FRESH = timedelta(seconds=1.5)  # a report or an answer shows so long that the workers are reached
+ASKED = 3  # machines in one round
+ROUND = timedelta(seconds=0.5)  # from one round to the next
+PATIENCE = timedelta(seconds=0.7)  # for one answer
+LATE = timedelta(seconds=0.4)  # a round that took longer than this beyond its time shows only that this node is late
+ROUNDS_MISSED = 2  # without any answer: then the workers are out of reach
+
+
+class ReachState(Enum):
+    UNKNOWN = "unknown"  # nothing was heard, and nothing asked lately
+    REACHES = "reaches"
+    CUT_OFF = "cut off"
+
+
+class Reach:
+    """Judges from reports and answers; one for each node."""
+
+    def __init__(self, visits: Visits) -> None:
+        self.state = ReachState.UNKNOWN
+        self._visits = visits
+        self._answered: timedelta | None = None
+        self._missed = 0
+        self._missed_at: timedelta | None = None
+
+    def answered(self, now: timedelta) -> None:
+        """A machine has answered."""
+        self._answered, self._missed = now, 0
+        self.look(now)
+
+    def unanswered(self, now: timedelta) -> None:
+        """Of all machines asked in one round none has."""
+        self._missed, self._missed_at = self._missed + 1, now
+        self.look(now)
+
+    def look(self, now: timedelta) -> ReachState:
+        """The state as of now: what was heard grows old without any event."""
+        if _fresh(self._visits.last, now) or _fresh(self._answered, now):
+            self._move(ReachState.REACHES)
+        elif self._missed >= ROUNDS_MISSED and _fresh(self._missed_at, now):
+            self._move(ReachState.CUT_OFF)
+        else:
+            self._move(ReachState.UNKNOWN)
+        return self.state
+
+    @property
+    def known(self) -> bool | None:
+        """For the heartbeat; None: it can't be told."""
+        return None if self.state is ReachState.UNKNOWN else self.state is ReachState.REACHES
+
+    def _move(self, state: ReachState) -> None:
+        """The only place where the state changes."""
+        if state is ReachState.CUT_OFF and self.state is not state:
+            log.info("workers: %s -> %s, %d rounds without an answer", self.state.value, state.value, self._missed)
+        if state is not ReachState.CUT_OFF:
+            if self.state is ReachState.CUT_OFF:
+                log.info("workers: %s -> %s", self.state.value, state.value)
+            if state is ReachState.REACHES:
+                self._missed = 0
+        self.state = state
+
+
+def _fresh(when: timedelta | None, now: timedelta) -> bool:
+    return when is not None and now - when <= FRESH
+
+
+class Prober:
+    """Asks a few machines for as long as ``wanted`` says so."""
+
+    def __init__(
+        self, reach: Reach, clock: Clock, wanted: Callable[[], bool], addresses: Callable[[], Sequence[str]]
+    ) -> None:
+        self._reach = reach
+        self._clock = clock
+        self._wanted = wanted
+        self._addresses = addresses
+        self._random = random.Random()
+
+    async def keep(self) -> None:
+        while True:
+            await asyncio.sleep(ROUND.total_seconds())
+            self._reach.look(self._clock.now())
+            addresses = self._addresses() if self._wanted() else ()
+            if addresses:
+                await self._round(self._random.sample(list(addresses), min(ASKED, len(addresses))))
+
+    async def _round(self, addresses: list[str]) -> None:
+        began = self._clock.now()
+        asking = [asyncio.ensure_future(self._ask(address)) for address in addresses]
+        for answer in asyncio.as_completed(asking):
+            if await answer:
+                self._reach.answered(self._clock.now())
+                break
+        else:
+            now = self._clock.now()
+            if now - began <= PATIENCE + LATE:  # else this node may itself have been late to hear them
+                self._reach.unanswered(now)
+        for each in asking:
+            each.cancel()
+
+    async def _ask(self, address: str) -> bool:
+        client = Client(address, connect_timeout=PATIENCE)
+        try:
+            async with asyncio.timeout(PATIENCE.total_seconds()):
+                status, _ = await client.request("GET", names.PATH_STATUS, timeout=PATIENCE)
+        except (Unanswered, TimeoutError, ValueError):
+            return False
+        finally:
+            client.close()
+        return status == 200
--- a/gingerspar/coordination/membership/term.py
+++ b/gingerspar/coordination/membership/term.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 from enum import Enum
 
+from gingerspar.coordination.membership.reach import ReachState
 from gingerspar.protocol.settings import WorkerFacts
 
 
@@ -51,6 +52,7 @@
     writes: float = 0.0
     hears: tuple[str, ...] = ()
     began: timedelta | None = None  # when its process began, on this node's steady clock
+    reaches: bool | None = None  # the workers, as far as it can tell
 
 
 @dataclass(slots=True)
@@ -76,6 +78,8 @@
     resigned: bool = False  # this process held the current term and gave it up
     resigned_since: timedelta = timedelta(0)
     lonely_since: timedelta | None = None  # since then workers come here and none to the holder
+    reach: ReachState = ReachState.UNKNOWN  # whether this node reaches the workers
+    cut_off_since: timedelta | None = None  # since then the holder says that it does not
 
 
 FRESH = timedelta(seconds=1.5)
@@ -86,6 +90,7 @@
 STALE_HOLDER = timedelta(seconds=4)
 NO_WORKERS = timedelta(seconds=5)
 NO_WORKERS_LEFT = timedelta(seconds=1)  # where those that come here are the holder's own
+NO_REACH = timedelta(seconds=0.5)  # after the holder has asked its machines in vain
 STAGGER = timedelta(milliseconds=500)
 SAME_AGE = timedelta(seconds=5)  # processes that began within it are taken to be as old
 SETTLING_IN = timedelta(seconds=4)  # a new holder gets this long before it is judged
@@ -107,6 +112,11 @@
     silent = silence > SILENT
     if not k.holder_session_alive and silent:
         return _in_turn(k, "the holder's session is over", k.term_seen)
+    # It has asked its machines and this node has asked some too, so a new holder needs no time to
+    # settle in: a wrong choice is put right within seconds, before the workers' leases run out.
+    cut_off = k.now - k.cut_off_since if k.cut_off_since is not None else None
+    if not silent and cut_off is not None and cut_off >= NO_REACH and k.reach is ReachState.REACHES:
+        return _in_turn(k, "the holder reaches no workers", k.now - cut_off + NO_REACH)
     if k.now - k.term_seen < SETTLING_IN:
         return None
     if silent:
@@ -133,10 +143,17 @@
     return None
 
 
+_BY_REACH: dict[bool | None, int] = {True: 0, None: 1, False: 2}
+
+
 def _in_turn(k: Knowledge, why: str, since: timedelta) -> str | None:
     """Lets the nodes try one after the other.
 
-    Those whose process began last go first: when all are restarted one after the other,
+    First those that reach the workers, last those that have asked in vain: on
+    kerlann-fonts-fleet the term went to a node that had just lost them, and all work was
+    lost though another had every link (bench/days/one-has-every-link-kerlann).
+
+    Among these, those whose process began last go first: when all are restarted one after the other,
     the term then comes to a node that has had its turn, and stays. In the order of their
     names it went, with each restart, to the one that was restarted next
     (kerlann-fonts-fleet restart: four changes of term in 75 s). One that has only just
@@ -151,6 +168,9 @@
         oldest = min(known.values())
         # Processes that began about together stay in the order of their names.
         others.sort(key=lambda node: -((known.get(node, oldest) - oldest) // SAME_AGE))
+    reaches = {node: k.peers[node].reaches for node in others if node in k.peers}
+    reaches[k.node] = None if k.reach is ReachState.UNKNOWN else k.reach is ReachState.REACHES
+    others.sort(key=lambda node: _BY_REACH[reaches.get(node)])
     place = others.index(k.node) if k.node in others else len(others)
     return why if k.now - since >= STAGGER * place else None
 
--- a/gingerspar/coordination/membership/visits.py
+++ b/gingerspar/coordination/membership/visits.py
@@ -12,12 +12,14 @@
     def __init__(self) -> None:
         self._visits: OrderedDict[str, tuple[timedelta, int]] = OrderedDict()
         self._tokens: Counter[int] = Counter()
+        self.last: timedelta | None = None  # when the latest of all came
 
     def add(self, machine: str, token: int, now: timedelta) -> None:
         known = self._visits.pop(machine, None)
         if known is not None:
             self._forget(known[1])
         self._visits[machine] = (now, token)
+        self.last = now
         self._tokens[token] += 1
 
     def _forget(self, token: int) -> None:
--- a/gingerspar/protocol/peers.py
+++ b/gingerspar/protocol/peers.py
@@ -16,6 +16,7 @@
     heard: list[str] = []  # nodes that it has heard lately
     writes: float = 0.0  # changes a second that it would like to write to the state service
     up_s: float | None = None  # since its process began; None: it is of a version that doesn't say
+    reaches: bool | None = None  # the workers; None: it can't tell
 
     @property
     def state_age(self) -> timedelta:
@@ -23,11 +24,12 @@
 
 
 class Counts(msgspec.Struct, tag="counts"):
-    """The dispatcher's count of running tasks by job, for display."""
+    """The dispatcher's count of running tasks by job, for display, and where some machines can be asked."""
 
     node: str
     term: int
     running: dict[str, int]
+    addresses: list[str] = []
 
 
 class Handover(msgspec.Struct, tag="handover"):
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from gingerspar.coordination.membership.reach import Reach, ReachState
 from gingerspar.coordination.membership.term import (
     Knowledge,
     PeerNews,
@@ -45,8 +46,14 @@
     return Knowledge(**{**base, **changes})  # type: ignore[arg-type]
 
 
-def news(age: float = 0.2, state_age: float = 0.1, workers: int = 8, dispatching: bool = True) -> PeerNews:
-    return PeerNews(NOW - s(age), 4, dispatching, s(state_age), workers)
+def news(
+    age: float = 0.2,
+    state_age: float = 0.1,
+    workers: int = 8,
+    dispatching: bool = True,
+    reaches: bool | None = None,
+) -> PeerNews:
+    return PeerNews(NOW - s(age), 4, dispatching, s(state_age), workers, reaches=reaches)
 
 
 CASES = {
@@ -92,6 +99,24 @@
         {"peers": {"n1": news(workers=0)}, "workers": 4, "lonely_since": s(92)},
         True,
     ),
+    # one-has-every-link-kerlann: a new holder that no worker reached kept the term for 22 s.
+    "a new holder has asked its machines in vain, this node reaches some": (
+        {
+            "term_seen": s(98.9),
+            "cut_off_since": s(99.2),
+            "reach": ReachState.REACHES,
+            "peers": {"n1": news(workers=0, reaches=False)},
+        },
+        True,
+    ),
+    "the holder has only just found that it reaches none": (
+        {"cut_off_since": s(99.8), "reach": ReachState.REACHES, "peers": {"n1": news(workers=0, reaches=False)}},
+        False,
+    ),
+    "neither the holder nor this node reaches any": (
+        {"cut_off_since": s(92), "reach": ReachState.CUT_OFF, "peers": {"n1": news(workers=0, reaches=False)}},
+        False,
+    ),
 }
 
 
@@ -107,6 +132,38 @@
     assert reason_to_raise(knowledge(**dead, node="n3")) is None
 
 
+def test_a_node_that_reaches_the_workers_goes_before_one_that_does_not() -> None:
+    """one-has-every-link-kerlann: all 1,900 tasks were killed by their leases though n4 had every link."""
+    lost = {"term_seen": s(50), "live_nodes": ["n1", "n2", "n3", "n4"]}
+    reach = {"n2": False, "n3": None, "n4": True}
+    states = {False: ReachState.CUT_OFF, None: ReachState.UNKNOWN, True: ReachState.REACHES}
+
+    def takes(node: str, after: float) -> bool:
+        peers = {other: news(workers=0, reaches=reach[other]) for other in reach if other != node}
+        peers["n1"] = news(state_age=4 + after)
+        return reason_to_raise(knowledge(**lost, node=node, peers=peers, reach=states[reach[node]])) is not None
+
+    assert [takes(node, 0.2) for node in reach] == [False, False, True]
+    assert [takes(node, 0.7) for node in reach] == [False, True, True]
+    assert [takes(node, 1.2) for node in reach] == [True, True, True]
+
+
+def test_what_a_node_knows_of_its_workers_grows_old() -> None:
+    visits = Visits()
+    reach = Reach(visits)
+    states = [reach.look(s(0)).value]
+    visits.add("m1", 3, s(1))
+    for second, what in [(1.0, None), (3.0, None), (3.5, reach.unanswered), (4.0, reach.unanswered)]:
+        if what is not None:
+            what(s(second))
+        states.append(reach.look(s(second)).value)
+    reach.answered(s(5))
+    states.append(reach.state.value)
+    reach.unanswered(s(5.5))  # one round without an answer is nothing yet
+    states += [reach.look(s(5.5)).value, reach.look(s(7)).value]
+    assert states == ["unknown", "reaches", "unknown", "unknown", "cut off", "reaches", "reaches", "unknown"]
+
+
 def test_the_node_that_was_restarted_last_takes_the_term() -> None:
     """kerlann-fonts-fleet restart: the term went to the node that was to be restarted next, four times."""
     dead = {"holder_session_alive": False, "term_seen": s(99.9), "live_nodes": ["n1", "n2", "n3", "n4"]}
