An answer to a process's former self is given to nobody

Cause: a controller numbered the users' requests that it passes to a peer from 1 on. A process that ends may now be back within a fraction of a second, and passes requests on until it has read the store; the peer's answer to its former self, still under way or held by a cut, then had the number of another user's question, who would have been told of another job. Found by going through what speaks in a process's name: sessions (each write names its record's version), terms and names of rentals (a restarted process always raises a new term) were ruled out.

Change: the numbers begin at a drawn one of 52 bits.

--- a/gingerspar/coordination/jobs/relay.py
+++ b/gingerspar/coordination/jobs/relay.py
@@ -1,6 +1,7 @@
 """Users' requests that a peer can serve while this node lacks the state service."""
 
 import asyncio
+import secrets
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
@@ -11,6 +12,8 @@
 
 RELAY_WAIT = timedelta(seconds=1.7)  # pollers wait 2 s
 
+NUMBER_BITS = 52  # where the requests' numbers begin; JSON numbers are whole up to 53 bits
+
 Serve = Callable[[str, str, bytes], Awaitable[Answer]]
 
 
@@ -21,7 +24,9 @@
         self._node = node
         self._link = link
         self._serve = serve
-        self._asked = 0
+        # A process that ends may be back within a fraction of a second, and then a peer's answer to
+        # its former self is still under way: with numbers from 1 on another user would be given it.
+        self._asked = secrets.randbits(NUMBER_BITS)
         self._waiting: dict[int, asyncio.Future[Answer]] = {}
         self._serving: set[asyncio.Task[None]] = set()
 
