Finishes that stay listed are taken in once; machines are ranked only when asked

Ruled out: writing results sooner (the write limit), forgetting finishes before they are saved.

Change: a machine remembers which of the listed finishes have been taken in, by the report's own names, for jobs whose record is known; a need ranks the machines that changed when somebody asks.

--- a/gingerspar/coordination/books/ledger.py
+++ b/gingerspar/coordination/books/ledger.py
@@ -232,6 +232,8 @@
     notice: timedelta | None = None  # when the cloud takes it away
     live: dict[tuple[str, int, int], Placement] = field(default_factory=dict)
     exited: dict[tuple[str, int, int], Cause | None] = field(default_factory=dict)
+    ended: dict[tuple[str, int], tuple[str, int, int]] = field(default_factory=dict)  # of these, by the report's
+    # name and attempt, what has been taken in: a finish is listed until its record shows it
     used: Usage = field(default_factory=Usage)
     shares: list[Usage] = field(default_factory=lambda: _empty_shares())  # of it by priority
     images: dict[str, float] = field(default_factory=dict)  # least recently used first
--- a/gingerspar/coordination/books/needs.py
+++ b/gingerspar/coordination/books/needs.py
@@ -52,6 +52,7 @@
     ranked_at: timedelta | None = None
     ranked: "SortedList[Rank]" = field(default_factory=SortedList)
     ranks: dict[str, "Rank"] = field(default_factory=dict)  # those in ``ranked``
+    unranked: set[str] = field(default_factory=set)  # changed since; ranked only once somebody asks
 
     def refresh(self, usable: Callable[[Machine], bool]) -> int:
         """Works out again what has changed; how many machines that were."""
@@ -81,9 +82,7 @@
                 self.free[name] = machine
             if now.stopping:
                 self.clearable[name] = machine
-                if self.ranked_at is not None:
-                    self.ranks[name] = self._rank(name, machine, self.ranked_at)
-                    self.ranked.add(self.ranks[name])
+                self.unranked.add(name)
 
     def sums(self) -> Iterable[tuple[str, Places]]:
         """Where the tasks of one job may all go: each zone, or all zones together."""
@@ -105,6 +104,11 @@
             self.ranked_at = now
             self.ranks = {name: self._rank(name, machine, now) for name, machine in self.clearable.items()}
             self.ranked = SortedList(self.ranks.values())
+        else:
+            for name in self.unranked & self.clearable.keys():
+                self.ranks[name] = self._rank(name, self.clearable[name], now)
+                self.ranked.add(self.ranks[name])
+        self.unranked.clear()
         return (self.clearable[name] for _, name in self.ranked)
 
     def _rank(self, name: str, machine: Machine, now: timedelta) -> Rank:
--- a/gingerspar/coordination/holder/dispatcher.py
+++ b/gingerspar/coordination/holder/dispatcher.py
@@ -210,12 +210,18 @@
                         self.book.move(placement, TaskState.PLANNED, now)
             elif placement.state is not TaskState.PLANNED:
                 self.book.gone(placement, now)
+        ended, machine.ended = machine.ended, {}
         machine.exited = {}
         strangers: list[tuple[tuple[str, int, int], TaskReport]] = []
         for name, task in reported.items():
             exited = task.status is TaskStatus.EXITED
             if name in known and not exited:
                 continue
+            if exited and name in ended:
+                # Machines with short tasks list eight finishes for each that is new (vatuloa-grep-fleet loss).
+                machine.ended[name] = ended[name]
+                machine.exited[ended[name]] = task.cause
+                continue
             try:
                 job, number = task.where()
             except ValueError:
@@ -223,6 +229,9 @@
             key = (job, number, task.attempt)
             if exited:
                 machine.exited[key] = task.cause
+                run = self.runs.get(job)
+                if run is not None and not run.over:
+                    machine.ended[name] = key
             if key not in machine.live:
                 strangers.append((key, task))
         for key, task in strangers:
@@ -429,7 +438,7 @@
         log.info("machine %s lost: %s", machine.name, why)
         machine.move(MachineState.LOST)
         machine.least_session = machine.session + 1
-        machine.exited = {}
+        machine.exited, machine.ended = {}, {}
         machine.tasks_seen = None
         self.book.clear_machine(machine, now)
         self.dirty = True
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -249,3 +249,33 @@
             found = sum(book.ends.released(offer, by, spans).cpus for offer in book.ends.offers())
             assert abs(found - expected) < 1e-6
             assert live
+
+
+def test_a_finish_that_stays_listed_is_taken_in_once() -> None:
+    """vatuloa-grep-fleet loss: until its record showed it, each finish was gone through again with each report."""
+    fleet = Fleet(1)
+    machine = next(iter(fleet.dispatcher.machines.values()))
+    fleet.job(1, 4)
+    fleet.place()
+    fleet.answer(machine, [])
+    taken: list[int] = []
+    done = fleet.dispatcher.book.done
+    fleet.dispatcher.book.done = lambda run, number: bool(taken.append(number)) or done(run, number)  # type: ignore
+    listed = [TaskReport("wk-000001/0", 1, TaskStatus.EXITED, Cause.DONE)]
+    for number in (1, 2, 3):
+        fleet.answer(machine, [*listed, TaskReport(f"wk-000001/{number}", 1, TaskStatus.RUNNING)])
+        assert machine.exited == {("wk-000001", 0, 1): Cause.DONE}
+    assert taken == [0, 0]  # when its placement ended, and when it was found listed
+
+
+def test_a_finish_of_a_job_without_a_record_counts_once_the_record_is_there() -> None:
+    """A new holder finds it among what an older one started; its record comes a moment later."""
+    fleet = Fleet(1)
+    machine = next(iter(fleet.dispatcher.machines.values()))
+    done = TaskReport("wk-000001/0", 1, TaskStatus.EXITED, Cause.DONE)
+    others = [TaskReport(f"wk-000001/{number}", 1, TaskStatus.RUNNING) for number in (1, 2, 3)]
+    for seq, listed in enumerate([others[:1], [done, *others[:1]], [done, *others]], start=2):
+        if seq == 4:
+            fleet.job(1, 4)
+        fleet.dispatcher.report(_report(machine.name, seq, listed), fleet.now)
+    assert 0 in fleet.dispatcher.runs["wk-000001"].finished
