--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -76,7 +76,7 @@
         self._relays = Relays(self._node, self._link, self._serve_user)
         self._began = self._clock.now()
         self._strain = Strain(self._clock)
-        self._server = Server(self._handle)
+        self._server = Server(self._handle, facts.machine_limits.fd_limit)
         self._types: list[MachineType] = []
         self._news: dict[str, PeerNews] = {}
         self._visits = Visits()
--- a/gingerspar/coordination/placing/placer.py
+++ b/gingerspar/coordination/placing/placer.py
@@ -84,6 +84,8 @@
         self._walked: Order | None = None  # up to here
         self._looked_again = timedelta(0)
         self._found: dict[Signature, list[Machine]] = {}  # machines with room, by kind of task
+        # What found no machine among those that gained room, by family and whether it was careful.
+        self._barren: dict[tuple[Family, bool], list[Least]] = {}
 
     def place(self, now: timedelta) -> bool:
         """True once everything that changed has been looked at."""
@@ -100,7 +102,7 @@
         gained = self._gained
         if not gained.names and not backlog.unseen:
             return True
-        self._found = {}
+        self._found, self._barren = {}, {}
         until = pool.looked_at + MOST_LOOKS
         gained.sum_up()
         helped = self._helped(gained)
@@ -116,7 +118,7 @@
                 before = len(run.open)
                 if unseen:
                     self._serve(run, None, now)
-                elif run.gangs or run.family in helped:
+                elif run.gangs or (run.family in helped and not self._in_vain(run)):
                     self._serve(run, gained, now)
                 if len(run.open) != before:
                     gained.sum_up()
@@ -155,11 +157,34 @@
                 self._book.backlog.seen(run)
         else:
             machines = self._with_room(run) if among is None else self._usable(run, among)
+            if machines and self._careful(run.spec):
+                machines = self._beside_accelerated(run.spec, machines)
+            if not machines and among is not None and not run.failures:
+                spec = run.spec
+                self._barren.setdefault((run.family, self._careful(spec)), []).append(
+                    Least(spec.cpus, spec.gpus, spec.memory_gb)
+                )
             if machines:
                 self._place_tasks(run, machines, team_room, now)
             if not run.open or self._book.team_room(run.spec) > 0:
                 self._book.backlog.seen(run)  # else it is the limit that it waits for
 
+    def _in_vain(self, run: JobRun) -> bool:
+        """A task that takes no more has found no place among the machines that gained room.
+
+        Within a pass they only lose some. On vatuloa-grep-fleet loss fifty jobs a pass looked at the
+        processors that are kept beside free accelerators, and did so again in the next.
+        """
+        spec = run.spec
+        return any(
+            spec.cpus >= least.cpus and spec.gpus >= least.gpus and spec.memory_gb >= least.memory_gb
+            for least in self._barren.get((run.family, self._careful(spec)), ())
+        )
+
+    def _careful(self, spec: JobSpec) -> bool:
+        """Routine work without accelerators keeps off the processors that free accelerators need."""
+        return not spec.gpus and spec.priority.rank > Priority.HIGH.rank and bool(self._book.accelerated)
+
     # -- machines for a run ---------------------------------------------------
 
     def _usable(self, run: JobRun, gained: Gained) -> list[Machine]:
@@ -233,9 +258,7 @@
 
     def _place_tasks(self, run: JobRun, machines: list[Machine], team_room: int, now: timedelta) -> None:
         spec, book = run.spec, self._book
-        careful = not spec.gpus and spec.priority.rank > Priority.HIGH.rank and bool(book.accelerated)
-        if careful:
-            machines = self._beside_accelerated(spec, machines)
+        careful = self._careful(spec)
         if spec.priority.rank > Priority.HIGH.rank and book.can_wait(run, now):
             dear = self._prolonging(spec, now)
             machines = [machine for machine in machines if not dear(machine)]
--- a/gingerspar/transport/server.py
+++ b/gingerspar/transport/server.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+import math
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
@@ -21,6 +22,8 @@
 
 MAX_BODY = 64 * 1024
 IDLE_AT_MOST = timedelta(minutes=2)  # a connection without requests
+IDLE_CROWDED = timedelta(seconds=15)  # the same where sockets are short: workers and pollers ask far more often
+CROWDED = 0.75  # of the sockets that this process may have; beyond it they are short
 
 
 @dataclass(slots=True)
@@ -85,10 +88,16 @@
 
 
 class Server(httputil.HTTPServerConnectionDelegate):
-    """Listens on one address and hands every request to ``handler``."""
+    """Listens on one address and hands every request to ``handler``.
 
-    def __init__(self, handler: Handler) -> None:
+    ``sockets``: how many this process may have. Workers that come back after a cut, or are sent
+    round, leave a connection behind for each that they open; with a thousand of them these would
+    keep the new ones from being accepted.
+    """
+
+    def __init__(self, handler: Handler, sockets: float = math.inf, clock: Clock | None = None) -> None:
         self._handler = handler
+        self._crowded = sockets * CROWDED
         self._running: set[asyncio.Future[Any]] = set()
         self._http = httpserver.HTTPServer(
             self, max_body_size=MAX_BODY, idle_connection_timeout=IDLE_AT_MOST.total_seconds()
@@ -96,7 +105,7 @@
         # A timer for each request is a good part of what it costs, so only a connection's first one has
         # it; from then on the connections are kept in the order of their last requests.
         self._later = http1connection.HTTP1ConnectionParameters(max_body_size=MAX_BODY)
-        self._clock = Clock()
+        self._clock = clock or Clock()
         self._asked: OrderedDict[http1connection.HTTP1ServerConnection, timedelta] = OrderedDict()
 
     def listen(self, port: int, address: str) -> None:
@@ -130,7 +139,7 @@
         """Machines that lose their power leave connections behind that nobody will use again."""
         while self._asked:
             oldest, asked = next(iter(self._asked.items()))
-            if now - asked <= IDLE_AT_MOST:
+            if now - asked <= (IDLE_CROWDED if len(self._asked) > self._crowded else IDLE_AT_MOST):
                 return
             del self._asked[oldest]
             oldest.stream.close()
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -1,12 +1,16 @@
 """Processes that end and are back within a fraction of a second, while what they had asked is still under way."""
 
 import asyncio
+from datetime import timedelta
 from types import SimpleNamespace
 from typing import Any
 
 from gingerspar.coordination.jobs.relay import Relays
 from gingerspar.protocol import peers
-from gingerspar.transport.server import Answer
+from gingerspar.transport.client import Client, Unanswered
+from gingerspar.transport.clock import Clock
+from gingerspar.transport.server import Answer, Server
+from tests.standins.cluster import free_port
 
 
 class _Link:
@@ -40,3 +44,44 @@
 
 def test_a_peers_answer_to_the_former_process_is_given_to_nobody() -> None:
     assert asyncio.run(_two_lives()).body == b"of wk-000002"
+
+
+class _Clock(Clock):
+    """Moved by hand."""
+
+    at = timedelta(0)
+
+    def now(self) -> timedelta:
+        return self.at
+
+
+async def _answered(client: Client) -> bool:
+    """On the connection that it has kept; a new one is not opened."""
+    try:
+        return (await client.request("GET", "/up"))[0] == 200
+    except Unanswered:
+        return False
+
+
+async def _left_behind(sockets: float) -> list[bool]:
+    """Four workers ask once and go silent; 20 s later one more comes. Whose connections are still good?"""
+    clock, port = _Clock(), free_port()
+    server = Server(lambda request: Answer(200, b"{}"), sockets, clock)
+    server.listen(port, "127.0.0.1")
+    clients = [Client(f"127.0.0.1:{port}") for _ in range(5)]
+    try:
+        for client in clients[:4]:
+            await client.request("GET", "/up")
+        clock.at += timedelta(seconds=20)
+        await clients[4].request("GET", "/up")
+        return [await _answered(client) for client in clients]
+    finally:
+        for client in clients:
+            client.close()
+        server.stop()
+        await asyncio.sleep(0)
+
+
+def test_connections_left_behind_go_once_sockets_are_short() -> None:
+    assert asyncio.run(_left_behind(1000)) == [True] * 5
+    assert asyncio.run(_left_behind(4)) == [False, False, True, True, True]
