Passes, plans and held answers of a large fleet are further apart

Cause: at 1,000 machines the holder passes over its backlog ten times a second and plans rentals once a second, while routine news waits two seconds anyway; each pass costs a look at all that waits.

Change: passes at least 0.2 ms a machine apart (never below 40 ms), plans 1.5 ms a machine (never below 1 s), routine news kept to 375 reports a second (2.7 s at most, 2.2 s under overload); of a report's tasks only those that ended or are strangers are gone through twice.

--- a/bench/acceptance.py
+++ b/bench/acceptance.py
@@ -135,7 +135,7 @@
 def write_site(folder: Path, play: Play, site: Site) -> Path:
     """The site file with what the bench wants beside it."""
     folder.mkdir(parents=True, exist_ok=True)
-    path = folder / f"{play.site.stem}-{play.size:g}.toml"
+    path = folder / f"{play.site.stem}{'-larger' if play.size > 1 else ''}-{play.size:g}.toml"
     path.write_text(tomli_w.dumps(site))
     for name, source in (("wire.json", play.site.parent / "wire.json"), (None, play.site.with_suffix(".days"))):
         if source.exists():
--- a/gingerspar/coordination/holder/command.py
+++ b/gingerspar/coordination/holder/command.py
@@ -46,18 +46,20 @@
 SAY_PAUSE = timedelta(milliseconds=100)  # finishes are told together
 RECLAIM_AGAIN = timedelta(seconds=1)
 FLEET_INTERVAL = timedelta(seconds=1)
+FLEET_EACH = timedelta(milliseconds=1.5)  # ... for each machine, if that is longer: a plan goes through all that waits
 ORDER_FRESH = timedelta(seconds=1)
 TICK = timedelta(milliseconds=250)
 PASS_PAUSE = timedelta(milliseconds=40)  # between two placing passes: what comes together is looked at together
-PASS_PAUSE_EACH = timedelta(milliseconds=0.1)  # ... with a large fleet so much for each machine, as more comes
+PASS_PAUSE_EACH = timedelta(milliseconds=0.2)  # ... with a large fleet so much for each machine, as more comes
 SUMMARY = timedelta(seconds=5)
 SAMPLE = 6  # machines that peers are told of
 RETIRED_FOR = timedelta(minutes=2)  # far longer than the machine list lags
-HOLD_MOST = timedelta(seconds=2.2)  # workers give an answer up after 4 s, and late timers need some of that
+HOLD_MOST = timedelta(seconds=2.7)  # workers give an answer up after 4 s, and late timers need some of that
+HOLD_STRAINED = timedelta(seconds=2.2)  # ... and more of it while they are late
 HOLD_IDLE = timedelta(seconds=2)
 HOLD_STEP = timedelta(milliseconds=100)  # they are looked at so often, and after each pass
 HOLD_BUSY = timedelta(milliseconds=200)  # somebody waits for the worker's news
-NEWS_RATE = 400  # reports a second that machines may send whose news nobody waits for, all together
+NEWS_RATE = 375  # reports a second that machines may send whose news nobody waits for, all together
 
 
 @dataclass(slots=True, eq=False)
@@ -83,7 +85,7 @@
         return HOLD_IDLE
     if machine.booked.cpus > 0 or any(map(_waited_for, machine.live.values())):
         return HOLD_BUSY
-    return HOLD_MOST if overloaded else min(max(timedelta(seconds=ready / NEWS_RATE), HOLD_BUSY), HOLD_MOST)
+    return HOLD_STRAINED if overloaded else min(max(timedelta(seconds=ready / NEWS_RATE), HOLD_BUSY), HOLD_MOST)
 
 
 def _waited_for(placement: Placement) -> bool:
@@ -186,6 +188,10 @@
             self.dispatcher.set_record(job, entry.record, entry.finished, now)
         self._work.set()
 
+    @property
+    def _ready(self) -> int:
+        return len(self.dispatcher.pool.states[MachineState.READY])
+
     def sample(self) -> list[str]:
         """Addresses of a few machines that report here, for whoever has to know whether it reaches them."""
         ready = list(self.dispatcher.pool.states[MachineState.READY].values())
@@ -234,8 +240,7 @@
         It has neither a task nor a timer of its own: with a thousand machines these were a
         good part of what a report cost. The deciding loop lets go what is due.
         """
-        ready = len(self.dispatcher.pool.states[MachineState.READY])
-        due = self._clock.now() + _hold_for(machine, ready, self._strain.overloaded)
+        due = self._clock.now() + _hold_for(machine, self._ready, self._strain.overloaded)
         hold = Hold(machine, report, due, asyncio.get_running_loop().create_future())
         self._holds[machine.name] = hold
         heappush(self._due, (due, next(self._order), hold))
@@ -293,8 +298,7 @@
             if self.dispatcher.dirty:
                 self._work.set()  # the pass was stopped to let others have their turn
             # A pass that took long is followed by a longer pause: reports and reads come first.
-            ready = len(self.dispatcher.pool.states[MachineState.READY])
-            least = max(PASS_PAUSE, ready * PASS_PAUSE_EACH)
+            least = max(PASS_PAUSE, self._ready * PASS_PAUSE_EACH)
             pause = self._strain.pause_after(self._clock.now() - now, DECIDING, least)
             await asyncio.sleep(pause.total_seconds())
 
@@ -379,7 +383,8 @@
                     self._spawn(self._give_back(back))
             except Exception:
                 log.exception("fleet planning failed")
-            pause = self._strain.pause_after(self._clock.now() - now, PLANNING, FLEET_INTERVAL)
+            least = max(FLEET_INTERVAL, self._ready * FLEET_EACH)
+            pause = self._strain.pause_after(self._clock.now() - now, PLANNING, least)
 
     async def _rent(self, offer: Offer, count: int) -> None:
         self._rentals += 1
--- a/gingerspar/coordination/holder/dispatcher.py
+++ b/gingerspar/coordination/holder/dispatcher.py
@@ -192,12 +192,12 @@
         # Names are taken apart only for what is not known yet or has ended: most of what a
         # report lists runs on as before.
         reported = {(task.task, task.attempt): task for task in listed}
-        known: set[tuple[str, int]] = set()
         for placement in list(machine.live.values()):
             name = (placement.name, placement.attempt)
-            known.add(name)
             seen = reported.get(name)
             if seen is not None:
+                if seen.status is not TaskStatus.EXITED:
+                    del reported[name]  # what is left is gone through below
                 if seen.status is not TaskStatus.RUNNING or placement.state is not TaskState.RUNNING:
                     self._update(placement, seen, now)
             elif placement.state is TaskState.SENT:
@@ -215,8 +215,6 @@
         strangers: list[tuple[tuple[str, int, int], TaskReport]] = []
         for name, task in reported.items():
             exited = task.status is TaskStatus.EXITED
-            if name in known and not exited:
-                continue
             if exited and name in ended:
                 # Machines with short tasks list eight finishes for each that is new (vatuloa-grep-fleet loss).
                 machine.ended[name] = ended[name]
