Polls share the next read, without a task or a timer each

Change: a poll for a job that is not over waits for the one future of the next read in turn; those that have waited for 1.6 s are found by one loop and answered 503. What they rest on stays: a read sent after the question came, and 404 only after it (tests/test_frontdoor.py).

--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -31,7 +31,7 @@
 from gingerspar.storage.view import WatchedView
 from gingerspar.transport.clock import Clock
 from gingerspar.transport.peerlink import PeerLink
-from gingerspar.transport.server import Answer, Request, Server
+from gingerspar.transport.server import Answer, Request, Server, settled
 from gingerspar.transport.waits import within
 
 log = logging.getLogger(__name__)
@@ -121,6 +121,7 @@
             self._claims.run_claims(),
             self._claims.run_results(),
             self._door.run_submissions(),
+            self._door.run_questions(),
             self._reconciler.run(),
             self._keeper.keep(),
             self._prober.keep(),
@@ -166,14 +167,14 @@
             return self._serve_user(method, path, request.body)
         return problem(404, "no such path")
 
-    async def _serve_user(self, method: str, path: str, body: bytes) -> Answer:
+    def _serve_user(self, method: str, path: str, body: bytes) -> Answer | Awaitable[Answer]:
         if path == names.PATH_JOBS:
-            return await self._door.submit(body) if method == "POST" else problem(405, "use POST")
+            return self._door.submit(body) if method == "POST" else problem(405, "use POST")
         rest = path[len(names.PATH_JOBS) + 1 :]
         if method == "GET":
-            return await self._door.ask(rest)
+            return self._door.ask(rest)
         if method == "POST" and rest.endswith(names.PATH_ABORT):
-            return await self._door.cancel(rest[: -len(names.PATH_ABORT)])
+            return self._door.cancel(rest[: -len(names.PATH_ABORT)])
         return problem(405, "use GET, or POST to cancel")
 
     # -- users' requests that a peer can serve --------------------------------
@@ -205,8 +206,7 @@
         """
         await within(self._led, HOLD_UNLED)
         if self._post is not None and self._keeper.authority():
-            answer = self._post.report(report)
-            return answer if isinstance(answer, Answer) else await answer
+            return await settled(self._post.report(report))
         return self._steer()
 
     def _lead(self) -> None:
--- a/gingerspar/coordination/jobs/frontdoor.py
+++ b/gingerspar/coordination/jobs/frontdoor.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 from typing import Any
 
 from gingerspar.coordination.jobs.claims import Claims, cancelled
@@ -40,6 +41,7 @@
 
 MOST_WAITING = 400  # submissions queued before the door says 429
 TXN_BYTES = 56 * 1024  # of the 64 KiB a transaction may have
+QUESTION_STEP = timedelta(milliseconds=200)  # so often those are looked for that have waited too long
 POLL_WAIT = timedelta(seconds=1.6)  # users wait 2 s for an answer
 WRITE_WAIT = timedelta(seconds=3.5)  # ... and 5 s for a submission
 STATE_GONE = timedelta(seconds=2.5)  # without a read for so long: no state service
@@ -82,6 +84,15 @@
         self.answer: asyncio.Future[bool | None] = asyncio.get_running_loop().create_future()
 
 
+class _Question:
+    __slots__ = ("answer", "due", "job")
+
+    def __init__(self, job: str, due: timedelta) -> None:
+        self.job = job
+        self.due = due
+        self.answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+
+
 class FrontDoor:
     """Runs in every node."""
 
@@ -95,6 +106,8 @@
         self._teams = teams
         self._queue: deque[_Submission] = deque()
         self._queued = asyncio.Event()
+        self._questions: deque[_Question] = deque()  # in the order in which they came, so also in that of their ends
+        self._asked = asyncio.Event()
         self.types: Callable[[], dict[str, MachineType]] = dict
         self.running: Callable[[str], int] = lambda job: 0
         self.peer_has_state: Callable[[], bool] = lambda: False
@@ -225,14 +238,43 @@
 
     # -- questions ------------------------------------------------------------
 
-    async def ask(self, job: str) -> Answer:
+    def ask(self, job: str) -> Answer | asyncio.Future[Answer]:
+        """How a job fares, as a read of the state service shows that is sent after the question came.
+
+        Polls are a quarter of all requests on kerlann-fonts-fleet: they share the next read, and
+        have neither a task nor a timer of their own.
+        """
         if not messages.JOB_ID.fullmatch(job):
             return problem(404, "no such job")
+        if job in self._view.final:
+            return self._tell(job)  # that changes no more
+        if not self._has_state():
+            return problem(503, "no state service", 1)
+        question = _Question(job, self._clock.now() + POLL_WAIT)
+        self._questions.append(question)
+        self._asked.set()
+        self._view.next_read().add_done_callback(partial(self._read_for, question))
+        return question.answer
+
+    def _read_for(self, question: _Question, read: asyncio.Future[None]) -> None:
+        if not read.cancelled() and not question.answer.done():
+            question.answer.set_result(self._tell(question.job))
+
+    async def run_questions(self) -> None:
+        """Answers those for which no read came in time."""
+        while True:
+            await self._asked.wait()
+            self._asked.clear()
+            while self._questions:
+                await asyncio.sleep(QUESTION_STEP.total_seconds())
+                now = self._clock.now()
+                while self._questions and (self._questions[0].answer.done() or self._questions[0].due <= now):
+                    question = self._questions.popleft()
+                    if not question.answer.done():
+                        question.answer.set_result(problem(503, "no state service", 1))
+
+    def _tell(self, job: str) -> Answer:
         final = self._view.final.get(job)
-        if final is None:
-            if not self._has_state() or not await self._view.barrier(POLL_WAIT, patient=True):
-                return problem(503, "no state service", 1)
-            final = self._view.final.get(job)
         if final is not None:
             done = final.tasks if final.status is JobStatus.DONE else 0
             return Answer(200, messages.encode(JobView(job, final.status, done, 0)))
--- a/gingerspar/coordination/jobs/relay.py
+++ b/gingerspar/coordination/jobs/relay.py
@@ -8,13 +8,13 @@
 from gingerspar.coordination.jobs.frontdoor import problem
 from gingerspar.protocol import peers
 from gingerspar.transport.peerlink import PeerLink
-from gingerspar.transport.server import Answer
+from gingerspar.transport.server import Answer, settled
 
 RELAY_WAIT = timedelta(seconds=1.7)  # pollers wait 2 s
 
 NUMBER_BITS = 52  # where the requests' numbers begin; JSON numbers are whole up to 53 bits
 
-Serve = Callable[[str, str, bytes], Awaitable[Answer]]
+Serve = Callable[[str, str, bytes], Answer | Awaitable[Answer]]
 
 
 class Relays:
@@ -62,7 +62,7 @@
 
     async def _answer(self, relay: peers.Relay) -> None:
         # Served here or not at all: a relayed request is never relayed again.
-        answer = await self._serve(relay.method, relay.path, relay.body.encode())
+        answer = await settled(self._serve(relay.method, relay.path, relay.body.encode()))
         message = peers.Relayed(
             self._node, relay.number, answer.status, answer.body.decode(), answer.headers.get("Retry-After")
         )
--- a/gingerspar/storage/view.py
+++ b/gingerspar/storage/view.py
@@ -34,7 +34,7 @@
 KEPT_SPECS = 2000
 LONG_AGO = timedelta(days=-10000)
 READ_WAIT = timedelta(seconds=1.5)
-PATIENCE = timedelta(seconds=0.5)  # most that a patient barrier waits for the next read
+PATIENCE = timedelta(seconds=0.5)  # where reads are further apart, the next one is sent once somebody waits
 ASK_AGAIN = timedelta(seconds=0.3)  # a read that takes longer is sent once more
 
 
@@ -82,6 +82,7 @@
         self._latest: deque[str] = deque()  # final jobs whose description is still kept
         self._wanted = asyncio.Event()
         self._barriers: list[asyncio.Future[None]] = []
+        self._shared: asyncio.Future[None] | None = None  # one of them, for those that wait for the next read
         self.on_job: list[Callable[[str], None]] = []
         self.on_node: list[Callable[[str], None]] = []
         self.on_term: list[Callable[[], None]] = []
@@ -95,12 +96,23 @@
         """Whether this node commands the machines: then it reads more often."""
         self._steady = self._paces[commands]
 
-    async def barrier(self, timeout: timedelta, *, patient: bool = False) -> bool:
-        """True once a read sent after this call was applied; ``patient``: the next one in turn will do."""
+    def next_read(self) -> asyncio.Future[None]:
+        """Done once a read sent after this call was applied, the next one in turn; without any bound in time.
+
+        All that ask before that read is sent share one future, which is not theirs to cancel.
+        """
+        if self._shared is None:
+            self._shared = asyncio.get_running_loop().create_future()
+            self._barriers.append(self._shared)
+            if self._steady > PATIENCE:
+                self._wanted.set()
+        return self._shared
+
+    async def barrier(self, timeout: timedelta) -> bool:
+        """True once a read sent after this call was applied; it is sent at once."""
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._barriers.append(future)
-        if not patient or self._steady > PATIENCE:
-            self._wanted.set()
+        self._wanted.set()
         try:
             await asyncio.wait_for(future, timeout.total_seconds())
         except TimeoutError:
@@ -113,7 +125,7 @@
         """Keeps the view up to date for as long as the process lives."""
         while True:
             sent = self._clock.now()
-            served, self._barriers = self._barriers, []
+            served, self._barriers, self._shared = self._barriers, [], None
             self._wanted.clear()
             read = False
             try:
--- a/gingerspar/transport/server.py
+++ b/gingerspar/transport/server.py
@@ -48,6 +48,12 @@
 # The answer itself where nothing has to be waited for: a task for each request is what a busy node can't afford.
 Handler = Callable[[Request], Answer | Awaitable[Answer]]
 
+
+async def settled(answer: Answer | Awaitable[Answer]) -> Answer:
+    """The answer, whether it was there at once or has to be waited for."""
+    return answer if isinstance(answer, Answer) else await answer
+
+
 REASONS = {
     200: "OK",
     201: "Created",
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -7,11 +7,12 @@
 import msgspec
 import pytest
 
-from gingerspar.coordination.jobs.frontdoor import MOST_WAITING, STATE_GONE, WRITE_WAIT, FrontDoor
+from gingerspar.coordination.jobs.frontdoor import MOST_WAITING, POLL_WAIT, STATE_GONE, WRITE_WAIT, FrontDoor
 from gingerspar.protocol.messages import MachineType
 from gingerspar.protocol.settings import TeamFacts
 from gingerspar.storage.view import Phase, WatchedView
 from gingerspar.transport.clock import Clock
+from gingerspar.transport.server import Answer, settled
 from tests.standins.cluster import job
 
 
@@ -58,7 +59,7 @@
     if path == "submit":
         answer = await door.submit(msgspec.json.encode(job(1)))
     else:
-        answer = await (door.ask("wk-000001") if path == "ask" else door.cancel("wk-000001"))
+        answer = await settled(door.ask("wk-000001") if path == "ask" else door.cancel("wk-000001"))
     return answer.status, answer.headers.get("Retry-After"), loop.time() - begun < 0.5
 
 
@@ -66,3 +67,34 @@
 def test_without_the_state_service_nobody_is_kept_waiting(path: str) -> None:
     """Nor is an unknown job called unknown: the answer says when to come back."""
     assert asyncio.run(_while_the_state_service_is_gone(path)) == (503, "1", True)
+
+
+async def _polls() -> list[tuple[int, int] | None]:
+    """Status and read by which they were answered: before the first read is sent, while it is under way, then no more.
+
+    The reads are the test's own: what was asked before one was sent may be answered by it.
+    """
+    door = _door(25.0)
+    view = door._view
+    expiring = asyncio.ensure_future(door.run_questions())
+    asked: list[Answer | asyncio.Future[Answer]] = [door.ask("wk-000001"), door.ask("wk-000002")]
+    served, view._barriers, view._shared = view._barriers, [], None  # the first read is sent
+    asked.append(door.ask("wk-000001"))
+    by: list[tuple[int, int] | None] = [None] * 3
+    for read in (1, 2):
+        for future in served:
+            future.set_result(None)
+        await asyncio.sleep(0)
+        for place, answer in enumerate(asked):
+            if by[place] is None and isinstance(answer, asyncio.Future) and answer.done():
+                by[place] = (answer.result().status, read)
+        if read == 1:
+            await asyncio.sleep(POLL_WAIT.total_seconds() + 0.5)  # the second one never comes
+            served = []
+    expiring.cancel()
+    return by
+
+
+def test_polls_share_the_next_read_and_end_in_time() -> None:
+    """404 only by a read sent after the question; without one 503 before its user gives up."""
+    assert asyncio.run(_polls()) == [(404, 1), (404, 1), (503, 2)]
