--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -5,12 +5,15 @@
 from types import SimpleNamespace
 from typing import Any
 
+from gingerspar.coordination.jobs.claims import Change, released
 from gingerspar.coordination.jobs.relay import Relays
 from gingerspar.protocol import peers
+from gingerspar.storage.budgets import Urgency
 from gingerspar.transport.client import Client, Unanswered
 from gingerspar.transport.clock import Clock
 from gingerspar.transport.server import Answer, Server
 from tests.standins.cluster import free_port
+from tests.test_claims import World
 
 
 class _Link:
@@ -85,3 +88,63 @@
 def test_connections_left_behind_go_once_sockets_are_short() -> None:
     assert asyncio.run(_left_behind(1000)) == [True] * 5
     assert asyncio.run(_left_behind(4)) == [False, False, True, True, True]
+
+
+class _Lives(World):
+    """A's process ends and goes on in the same session, as ``Session._resume`` has it; what it had sent comes late."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.former, self.a = self.a, self._claims("A")
+
+    def late(self, change: Change, *, claim: bool = False) -> bool:
+        return asyncio.run(self.former._write([change], Urgency.CLAIM, hand_over=claim))
+
+    def to_claim(self) -> Change:
+        return self.former._next_claims(timedelta(0))[0]
+
+    def seen(self) -> tuple[str, int]:
+        self.read(self.a._view)
+        return self.record["status"], self.record.get("attempt", 0)
+
+
+def test_a_late_claim_of_the_former_process_is_the_present_ones() -> None:
+    lives = _Lives()
+    assert lives.late(lives.to_claim(), claim=True)
+    assert lives.seen() == ("running", 1)
+    assert not lives.claim(lives.b)
+    assert lives.write(lives.a, lives.result(lives.a, {0, 1}))
+    assert lives.seen() == ("done", 1)
+
+
+def test_a_late_claim_fails_once_the_present_process_has_claimed() -> None:
+    lives = _Lives()
+    change = lives.to_claim()
+    assert lives.claim(lives.a)
+    assert not lives.late(change, claim=True)
+    assert lives.seen() == ("running", 1)
+
+
+def test_a_late_result_neither_undoes_a_newer_one_nor_is_it_lost() -> None:
+    lives = _Lives()
+    assert lives.claim(lives.a)
+    lives.read(lives.former._view)
+    change = lives.result(lives.former, {0})
+    assert lives.write(lives.a, lives.result(lives.a, {1}))
+    assert not lives.late(change)
+    assert lives.seen() == ("running", 1)
+    # The holder tells of a finish until the record shows it.
+    assert lives.write(lives.a, lives.result(lives.a, {0}))
+    assert lives.seen() == ("done", 1)
+
+
+def test_a_late_release_costs_a_new_claim_and_nothing_else() -> None:
+    lives = _Lives()
+    assert lives.claim(lives.a)
+    lives.read(lives.former._view)
+    entry = lives.former._view.jobs["wk-000001"]
+    assert lives.late(Change("wk-000001", entry.version, released(entry)))
+    assert lives.seen() == ("pending", 1)
+    lives.a.accepted("wk-000001")
+    assert lives.claim(lives.a)
+    assert lives.seen() == ("running", 2)
