One place where the state of reaching the workers is logged

Reread: the change of state had two branches that logged the same; rounds missed are forgotten where workers are found to be reached, as before.

--- a/gingerspar/coordination/membership/reach.py
+++ b/gingerspar/coordination/membership/reach.py
@@ -59,6 +59,7 @@
     def look(self, now: timedelta) -> ReachState:
         """The state as of now: what was heard grows old without any event."""
         if _fresh(self._visits.last, now) or _fresh(self._answered, now):
+            self._missed = 0
             self._move(ReachState.REACHES)
         elif self._missed >= ROUNDS_MISSED and _fresh(self._missed_at, now):
             self._move(ReachState.CUT_OFF)
@@ -73,13 +74,10 @@
 
     def _move(self, state: ReachState) -> None:
         """The only place where the state changes."""
-        if state is ReachState.CUT_OFF and self.state is not state:
+        if state is self.state:
+            return
+        if ReachState.CUT_OFF in (state, self.state):  # the others come and go with each doubt
             log.info("workers: %s -> %s, %d rounds without an answer", self.state.value, state.value, self._missed)
-        if state is not ReachState.CUT_OFF:
-            if self.state is ReachState.CUT_OFF:
-                log.info("workers: %s -> %s", self.state.value, state.value)
-            if state is ReachState.REACHES:
-                self._missed = 0
         self.state = state
 
 
