A connect that is given up closes its socket

A request that is cancelled while it connects left its socket open, behind a cut for minutes and after it for good.

Change: in the client itself, for whoever cancels. tests/test_ends.py fails without it.

--- a/gingerspar/transport/client.py
+++ b/gingerspar/transport/client.py
@@ -59,6 +59,10 @@
         except (TimeoutError, iostream.StreamClosedError, OSError) as error:
             stream.close()
             raise NotSent(f"{self._address}: {error!r}") from error
+        except asyncio.CancelledError:
+            # Nobody else knows of it: it would stay among this process's sockets, behind a cut for minutes.
+            stream.close()
+            raise
         return stream, http1connection.HTTP1Connection(stream, True, self._params)
 
     async def request(
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -5,6 +5,9 @@
 from types import SimpleNamespace
 from typing import Any
 
+import pytest
+from tornado import iostream
+
 from gingerspar.coordination.jobs.claims import Change, released
 from gingerspar.coordination.jobs.relay import Relays
 from gingerspar.protocol import peers
@@ -90,6 +93,27 @@
     assert asyncio.run(_left_behind(4)) == [False, False, True, True, True]
 
 
+async def _given_up_while_connecting(streams: list[iostream.IOStream]) -> None:
+    asking = asyncio.ensure_future(Client("127.0.0.1:9").request("GET", "/status"))
+    await asyncio.sleep(0.01)
+    assert [stream.closed() for stream in streams] == [False]
+    asking.cancel()
+    await asyncio.gather(asking, return_exceptions=True)
+
+
+def test_a_connection_given_up_while_it_is_made_leaves_no_socket(monkeypatch: pytest.MonkeyPatch) -> None:
+    """one-has-every-link-kerlann: a controller that asked machines behind a cut had 65 connections, the others 22."""
+    streams: list[iostream.IOStream] = []
+
+    def silent(stream: iostream.IOStream, address: object) -> asyncio.Future[None]:
+        streams.append(stream)
+        return asyncio.get_running_loop().create_future()
+
+    monkeypatch.setattr(iostream.IOStream, "connect", silent)
+    asyncio.run(_given_up_while_connecting(streams))
+    assert [stream.closed() for stream in streams] == [True]
+
+
 class _Lives(World):
     """A's process ends and goes on in the same session, as ``Session._resume`` has it; what it had sent comes late."""
 
