Machines that hear nothing, copies that come late, a holder left alone, jobs that begin in time

(1) A machine whose reports arrive, but which no answer reaches, goes round all controllers. With three of them it came back within the 18.5 s of silence after which a machine is given up, and swallowed work for good; in a new term it stayed unsettled for good, and with it each job that it might run. Its visits counted as proof that the holder is gone. (2) A late copy of a report from a machine that had been given back brought it on the books again, its tasks adopted.

Ruled out: stopping a holder by itself when state service and peers are gone (costs every outage with refused links its work); a shorter session (a process that is back after 6 s has to find its own).

HearingState (books/hearing.py), judged at each report by gap and number; a worker that doesn't show the term's token within 10 s is not answered until its lease is over; visitors count once they have answered a question; a sign of life in the state service while some peer can't hear the holder; a successor to which nobody comes tells the machines its token; a holder with old reads that is shown a higher token gives up; /up says so where state service and peers are both gone for 6 s; a job that has not begun after 120 s goes first with one task, the largest gangs of a class whole (books/begin.py).

Traces and tests show each with its guard; without the begin rule none of the five large jobs of tests/test_begin.py begins at all.

--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -98,7 +98,7 @@
             self._strain,
         )
         self._keeper.use(self._peer_heard, lambda: self._types, self._make_post)
-        self._prober = Prober(self._reach, self._clock, self._keeper.doubts, self._machines_to_ask)
+        self._prober = Prober(self._reach, self._visits, self._clock, self._keeper.doubts, self._machines_to_ask)
         self._reconciler = Reconciler(
             self._client, self._view, self._session, self._keeper.dispatching, operator.sweep_batch
         )
@@ -108,6 +108,7 @@
         self._door.types = lambda: {kind.name: kind for kind in self._types}
         self._door.running = self._running
         self._door.peer_has_state = self._peer_has_state
+        self._door.hears_peers = self._hears_peers
 
     # -- life -----------------------------------------------------------------
 
@@ -191,10 +192,15 @@
             report = messages.decode(Report, request.body)
         except Malformed as error:
             return problem(400, str(error))
-        self._visits.add(report.machine, report.token, self._clock.now())
+        order = (report.session, report.seq)
+        self._visits.add(report.machine, report.address, order, report.token, self._clock.now())
+        if self._post is None:
+            self._prober.ask_visitors()
         if self._post is not None and self._keeper.authority():
             return self._post.report(report)
         if self._post is None and self._commander() is None:
+            if self._view.term is not None and report.token > self._view.term[0].term:
+                return self._steer()  # somebody commands of whom this node has not heard: it finds them sooner itself
             return self._until_commanded(report)
         return self._steer()
 
@@ -242,7 +248,7 @@
             term is not None
             and term[0].holder == holder
             and self._view.nodes.get(holder) == term[0].session
-            and self._visits.deserters(term[0].term) == 0
+            and self._visits.came(term[0].term) == 0
         )
 
     def _known_holder(self) -> str | None:
@@ -271,6 +277,7 @@
             self._tell_finished,
             self._ask_reclaim,
             self._steer,
+            self._keeper.superseded,
             self._strain,
         )
 
@@ -292,6 +299,10 @@
         news = self._news.get(node)
         return news is not None and self._clock.now() - news.heard <= LINK_SILENT
 
+    def _hears_peers(self) -> bool:
+        """Any at all; true as well for a node that has none."""
+        return not self._link.peers or any(self._peer_heard(node) for node in self._link.peers)
+
     def _peer_has_state(self) -> bool:
         return any(
             self._peer_heard(node) and news.state_age < timedelta(seconds=1.5) for node, news in self._news.items()
--- a/gingerspar/coordination/books/book.py
+++ b/gingerspar/coordination/books/book.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from gingerspar.coordination.books.begin import BEGIN_BY, Largest
 from gingerspar.coordination.books.ends import Ends
 from gingerspar.coordination.books.estimates import Estimates
 from gingerspar.coordination.books.ledger import (
@@ -86,6 +87,7 @@
         self.runs: dict[str, JobRun] = {}
         self.backlog = Backlog()
         self.services = Services()
+        self.largest = Largest()
         self.usage: dict[str, Usage] = {team: Usage() for team in self.teams}
         self.unsaved: dict[str, JobRun] = {}  # runs with finishes that the record doesn't show yet
         self.ends = Ends()
@@ -144,6 +146,7 @@
         run = self.runs.get(placement.job)
         if run is not None:
             run.running += (placement.state in _COUNTED) - before
+            run.begun = run.begun or placement.running_since is not None
 
     def plan(self, run: JobRun, number: int, machine: Machine, now: timedelta, *, shielded: bool = False) -> None:
         placement = Placement(run.spec, number, run.record.attempt, machine, TaskState.PLANNED, now, shielded=shielded)
@@ -157,6 +160,7 @@
         run.places.setdefault(placement.number, []).append(placement)
         run.open.discard(placement.number)
         run.running += placement.state in _COUNTED
+        run.begun = run.begun or placement.running_since is not None
         if placement.running_since is not None:
             self.ends.started(placement)
         self.usage.setdefault(placement.spec.team, Usage()).add(placement.spec)
@@ -284,10 +288,28 @@
         self.services.look(self.runs.values(), self.pool, self.backlog, now)
 
     def order(self, run: JobRun, now: timedelta) -> Order:
-        """As ``_order``, but first of all where its class lags behind and its share is not used up."""
+        """As ``_order``, but first of all where it is late to begin, or its class lags and its share is not used up."""
+        if self.late_to_begin(run, now):
+            return (FIRST, 0.0, run.record.submitted, run.spec.job)
         order = self._order(run, now)
         return (FIRST, *order[1:]) if self.services.first(run) and self.services.left(run) else order
 
+    def late_to_begin(self, run: JobRun, now: timedelta) -> bool:
+        """Whether the job has to begin now, with one task, or if it is a gang with all."""
+        if run.begun or run.places or run.over or now - run.submitted < BEGIN_BY or run.failures:
+            return False
+        return self.largest.among(run.spec) if run.gangs else self.services.left(run) > 0
+
+    def first_gang(self, now: timedelta) -> JobRun | None:
+        """The gang that has been late to begin for longest: one at a time keeps its room until it starts."""
+        run: JobRun
+        for order, run in self.backlog.waiting.items():
+            if order[0] != FIRST:
+                return None
+            if run.gangs and self.late_to_begin(run, now):
+                return run
+        return None
+
     def _order(self, run: JobRun, now: timedelta) -> Order:
         """Priority, then earliest due.
 
--- a/gingerspar/coordination/books/ledger.py
+++ b/gingerspar/coordination/books/ledger.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 from enum import Enum
 
+from gingerspar.coordination.books.hearing import Hearing
 from gingerspar.protocol.messages import Cause, JobSpec, MachineType, Priority, TaskStatus
 
 TaskId = tuple[str, int]  # job and number
@@ -228,6 +229,8 @@
     seq: int = 0
     least_session: int = 0  # reports of earlier sessions are stale: their lease has run out
     answered: timedelta | None = None  # when the last report that got a 200 came in
+    told: timedelta | None = None  # when it was first answered by this holder without showing its token since
+    hearing: Hearing = field(init=False)
     rostered: bool = False
     notice: timedelta | None = None  # when the cloud takes it away
     live: dict[tuple[str, int, int], Placement] = field(default_factory=dict)
@@ -246,6 +249,9 @@
     tasks_seen: bytes | None = None  # the task list of the last report, when it was taken in whole
     changed: Callable[["Machine", bool], None] = lambda machine, gained: None  # tells the pool
 
+    def __post_init__(self) -> None:
+        self.hearing = Hearing(self.name)
+
     def move(self, state: MachineState) -> None:
         """The only place where a machine's state changes."""
         if state is self.state:
@@ -255,6 +261,16 @@
         self.state = state
         self.changed(self, True)
 
+    def judge(self, heard: bool) -> None:
+        """Its report shows whether the answer before has reached it."""
+        before = self.hearing.hears
+        if heard:
+            self.hearing.heard()
+        else:
+            self.hearing.missed()
+        if before is not self.hearing.hears:
+            self.changed(self, True)
+
     def enlist(self) -> None:
         """The machine is on the roster now: tasks may be sent to it."""
         self.rostered = True
@@ -290,15 +306,15 @@
 
     def free(self) -> tuple[float, float, float]:
         """Processors, accelerators and memory that no task has and no gang has booked."""
-        kind = self.kind
+        cpus, gpus, memory = self.unused()
+        return cpus - self.booked.cpus, gpus - self.booked.gpus, memory - self.booked.memory_gb
+
+    def unused(self) -> tuple[float, float, float]:
+        """Processors, accelerators and memory that no task has."""
+        kind, used = self.kind, self.used
         if kind is None:
             return 0.0, 0.0, 0.0
-        used, booked = self.used, self.booked
-        return (
-            kind.cpus - used.cpus - booked.cpus,
-            kind.gpus - used.gpus - booked.gpus,
-            kind.memory_gb - used.memory_gb - booked.memory_gb,
-        )
+        return kind.cpus - used.cpus, kind.gpus - used.gpus, kind.memory_gb - used.memory_gb
 
     def room_for(self, spec: JobSpec) -> int:
         """How many more tasks of this kind fit."""
--- a/gingerspar/coordination/books/pool.py
+++ b/gingerspar/coordination/books/pool.py
@@ -7,11 +7,12 @@
 pass. All of it follows from the changes that a machine announces of itself.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Container, Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from datetime import timedelta
 
-from gingerspar.coordination.books.ledger import Machine, MachineState
+from gingerspar.coordination.books.ledger import Machine, MachineState, fits
 from gingerspar.coordination.books.needs import Need, Needs
 from gingerspar.protocol.messages import JobSpec, MachineType
 
@@ -91,7 +92,7 @@
         if MachineState.UNSETTLED in (before, machine.state):
             self._unsettled = None
         kind = machine.kind
-        if machine.state is not MachineState.READY or not machine.rostered or kind is None:
+        if machine.state is not MachineState.READY or not machine.rostered or kind is None or not machine.hearing.hears:
             self._unfile(machine)
             return
         cpus, gpus, _ = machine.free()
@@ -154,6 +155,26 @@
                 found += [machine for machine in machines.values() if machine.room_for(spec) > 0]
         return found
 
+    def emptied(self, spec: JobSpec, spared: Container[Machine], now: timedelta) -> list[Machine]:
+        """The machine that would take a task of the job first, if it took nothing else; none of those ``spared``."""
+        usable = [
+            machine
+            for machine in self.states[MachineState.READY].values()
+            if machine.name in self._filed
+            and machine.kind is not None
+            and machine not in spared
+            and allows(spec, machine.type, machine.zone, machine.spot)
+            and fits(spec, machine.kind.cpus, machine.kind.gpus, machine.kind.memory_gb)
+        ]
+        self.looked_at += len(usable)
+
+        def until(machine: Machine) -> tuple[bool, timedelta, str]:
+            outlook = machine.look_ahead()
+            ends = max(outlook.last_end or now, now + outlook.longest_ahead)
+            return not fits(spec, *machine.unused()), ends, machine.name
+
+        return sorted(usable, key=until)[:1]
+
     def ready(self) -> list[tuple[Offer, MachineType, int]]:
         """How many ready machines there are of each type, zone and kind."""
         found: list[tuple[Offer, MachineType, int]] = []
--- a/gingerspar/coordination/books/runs.py
+++ b/gingerspar/coordination/books/runs.py
@@ -50,6 +50,7 @@
     not_before: timedelta | None = None
     backoff: timedelta = FIRST_BACKOFF
     failures: dict[str, int] = field(default_factory=dict)  # errors by machine
+    begun: bool = False  # a task of it has run
     ran_well: bool = False  # a task of it was done somewhere
     over: bool = False
     told: timedelta | None = None  # when the claimant was last told of `unsaved`
--- a/gingerspar/coordination/books/service.py
+++ b/gingerspar/coordination/books/service.py
@@ -116,9 +116,9 @@
         return max(int((self.weight * SHARE - self.held) / weight), 0) if weight > 0 else 0
 
     def entered(self, placement: Placement) -> None:
-        if placement.shielded:
+        if placement.shielded and placement.spec.shape is not Shape.GANG:  # a gang that is late to begin is not in it
             self.held += resource_weight(placement.spec)
 
     def ended(self, placement: Placement) -> None:
-        if placement.shielded:
+        if placement.shielded and placement.spec.shape is not Shape.GANG:
             self.held = max(self.held - resource_weight(placement.spec), 0.0)
--- a/gingerspar/coordination/holder/command.py
+++ b/gingerspar/coordination/holder/command.py
@@ -51,6 +51,10 @@
 TICK = timedelta(milliseconds=250)
 PASS_PAUSE = timedelta(milliseconds=40)  # between two placing passes: what comes together is looked at together
 PASS_PAUSE_EACH = timedelta(milliseconds=0.2)  # ... with a large fleet so much for each machine, as more comes
+TELL_AFTER = timedelta(seconds=4)  # most machines come by themselves within it
+TELL_ROUNDS = 3
+TELL_AT_ONCE = 16
+TELL_PATIENCE = timedelta(seconds=0.7)
 SUMMARY = timedelta(seconds=5)
 SAMPLE = 6  # machines that peers are told of
 RETIRED_FOR = timedelta(minutes=2)  # far longer than the machine list lags
@@ -112,6 +116,7 @@
         tell_finished: Callable[[str, dict[str, list[int]]], None],
         ask_reclaim: Callable[[str, str, int], None],
         steer: Callable[[], Answer],
+        superseded: Callable[[], None],
         strain: Strain,
     ) -> None:
         self.dispatcher = dispatcher
@@ -127,6 +132,7 @@
         self._tell_finished = tell_finished
         self._ask_reclaim = ask_reclaim
         self._steer = steer
+        self._superseded = superseded
         self._strain = strain
         self._holds: dict[str, Hold] = {}  # by machine
         self._due: list[tuple[timedelta, int, Hold]] = []  # a heap of the same and of some that have left
@@ -165,7 +171,7 @@
         )
         self._tasks = [
             asyncio.ensure_future(loop)
-            for loop in (self._decide(), self._run_fleet(), self._run_list(), self._roster.run())
+            for loop in (self._decide(), self._run_fleet(), self._run_list(), self._roster.run(), self._tell())
         ]
 
     def stop(self) -> None:
@@ -215,7 +221,8 @@
         except Malformed as error:
             return problem(400, str(error))
         except Outdated:
-            return Answer(503, b'{"error":"not entitled"}')
+            self._superseded()
+            return self._steer()
         if self.dispatcher.dirty:
             self._work.set()
         settled = report.token >= self.dispatcher.term
@@ -328,6 +335,36 @@
         finally:
             client.close()
 
+    # -- the token ------------------------------------------------------------
+
+    async def _tell(self) -> None:
+        """Tells machines of the new token that have not come by themselves.
+
+        An older holder without the state service and all other controllers goes on answering its
+        workers, and hears of its successor from nobody but them (docs/design.md, "Left with its workers alone").
+        """
+        await asyncio.sleep(TELL_AFTER.total_seconds())
+        for _ in range(TELL_ROUNDS):
+            waiting = [machine for machine in self.dispatcher.silent() if machine.address]
+            if waiting:
+                log.info("telling %d machines of term %d", len(waiting), self.dispatcher.term)
+            for begin in range(0, len(waiting), TELL_AT_ONCE):
+                await asyncio.gather(*map(self._tell_one, waiting[begin : begin + TELL_AT_ONCE]))
+            await asyncio.sleep(TELL_AFTER.total_seconds())
+
+    async def _tell_one(self, machine: Machine) -> None:
+        client = Client(machine.address, connect_timeout=TELL_PATIENCE)
+        try:
+            async with asyncio.timeout(2 * TELL_PATIENCE.total_seconds()):
+                _, body = await client.request("GET", names.PATH_STATUS)
+                report = messages.decode(Report, body)
+                orders = messages.encode(DirectCommands(self.dispatcher.term, report.session, []))
+                await client.request("POST", names.PATH_COMMANDS, orders, permit=self._authority)
+        except (Unanswered, Malformed, TimeoutError) as error:
+            log.debug("machine %s was not told: %s", machine.name, error)
+        finally:
+            client.close()
+
     def _say(self, now: timedelta) -> None:
         """Tells claimants of finishes, and asks for attempts, until their records show it."""
         if now - self._said >= SAY_PAUSE:
@@ -464,6 +501,8 @@
                     elif entry.status is not MachineStatus.FAILED:
                         continue
                 failed = entry.status is MachineStatus.FAILED
+                if machine is not None and not machine.address:
+                    machine.address = entry.address
                 over = (MachineState.LOST, MachineState.RETURNING, MachineState.GONE)
                 if machine is not None and failed and machine.state not in over:
                     self.dispatcher.lost(machine, "the cloud lists it as failed", now)
--- a/gingerspar/coordination/holder/dispatcher.py
+++ b/gingerspar/coordination/holder/dispatcher.py
@@ -10,6 +10,7 @@
 from datetime import datetime, timedelta
 
 from gingerspar.coordination.books.book import NO_GRACE, Book
+from gingerspar.coordination.books.hearing import TOLD_FOR, HearingState, gave_up
 from gingerspar.coordination.books.ledger import REPORTED, Machine, MachineState, Placement, TaskState
 from gingerspar.coordination.books.runs import FIRST_BACKOFF, GangState, JobRun, recordless, stranger
 from gingerspar.coordination.membership.term import DRIFT, settle_span
@@ -58,8 +59,10 @@
         objectives: Iterable[Objective] = (),
         today: Callable[[], datetime] | None = None,
         roster: Iterable[tuple[str, str, str, bool]] = (),
+        nodes: int = 1,
     ) -> None:
         self.term = term
+        self._nodes = nodes
         self.raised = raised
         self.book = Book(term, teams, objectives)
         self._today = today
@@ -135,6 +138,8 @@
             age = self._today().timestamp() - record.submitted
             run.submitted = now - timedelta(seconds=max(age, 0.0))
         run.open.update(finished.missing())
+        run.begun = len(finished) > 0
+        self.book.largest.add(run.spec)
         run.order = self.book.order(run, now)
         self.book.estimates.job(run.spec)
         if run.spec.gpus:
@@ -154,6 +159,10 @@
         tasks = bytes(report.tasks)
         listed = report.listed() if machine is None or tasks != machine.tasks_seen else None
         if machine is None:
+            if report.token >= self.term:
+                # It has heard of this term, so this holder knew it, and has given it back since: a copy.
+                # The task that it shows would be taken to run there for the length of a lease.
+                raise Stale
             # Unexpected, yet not on the roster: no older holder can have used it.
             machine = self.book.add_machine(
                 report.machine, report.type, report.zone, report.spot, now, MachineState.BOOTING
@@ -162,14 +171,23 @@
             raise Stale
         if report.session < machine.least_session or (report.session, report.seq) <= (machine.session, machine.seq):
             raise Stale
+        heard = self._heard(machine, report, now)
         machine.session, machine.seq = report.session, report.seq
         machine.address = report.address
-        machine.answered = now
         if report.token < self.term:
-            # It may yet take an older holder's answer; its next report tells what is on it.
+            # It may yet take an older holder's answer; its next report tells what is on it. One that
+            # doesn't hear, or whose reports are late copies, would stay so for good, and all that may
+            # run on it with it: it is told for a while only, and then its lease is waited for.
+            if machine.told is None:
+                machine.told = now
+            elif now - machine.told > TOLD_FOR:
+                raise Stale
+            machine.answered = now
             if machine.state is MachineState.BOOTING and machine.rostered and report.listed():
                 machine.move(MachineState.UNSETTLED)
             return machine
+        machine.told = None
+        machine.answered = now
         if machine.state in (MachineState.BOOTING, MachineState.UNSETTLED, MachineState.LOST):
             log.info("machine %s %s -> ready", machine.name, machine.state.value)
             machine.move(MachineState.READY)
@@ -179,6 +197,8 @@
             self._take_tasks(machine, report, listed, now)
             machine.tasks_seen = tasks
             self.dirty = True
+        if heard is not None:
+            self._judge(machine, heard, now)
         if report.notice_s is not None:
             machine.notice = now + timedelta(seconds=report.notice_s)
             self._to_drain[machine.name] = machine
@@ -188,6 +208,26 @@
             machine.idle_since = now
         return machine
 
+    def _heard(self, machine: Machine, report: Report, now: timedelta) -> bool | None:
+        """Whether the worker has heard the answer to its report before; None: there was none to hear."""
+        if machine.answered is None:
+            return None
+        if machine.told is not None or report.token < self.term:
+            return report.token >= self.term  # it was told of the term, and shows that or not
+        # A new session: its lease has run out, unless it was restarted just now.
+        ticks = self._nodes if report.session > machine.session else report.seq - machine.seq
+        return not gave_up(now - machine.answered, ticks, self._nodes, self._workers.report)
+
+    def _judge(self, machine: Machine, heard: bool, now: timedelta) -> None:
+        machine.judge(heard)
+        if heard:
+            return
+        for placement in list(machine.live.values()):
+            if placement.state is TaskState.PLANNED:
+                self.book.gone(placement, now)  # its `run` would be lost as well
+        if machine.hearing.state is HearingState.DEAF and machine.state is MachineState.READY:
+            self.leave(machine, "it hears no answer")
+
     def _take_tasks(self, machine: Machine, report: Report, listed: list[TaskReport], now: timedelta) -> None:
         # Names are taken apart only for what is not known yet or has ended: most of what a
         # report lists runs on as before.
@@ -397,6 +437,10 @@
             heard = machine.answered + self._lease if machine.answered is not None else self._settled_by
             if now > max(heard, self._settled_by):
                 self.lost(machine, "silent since the term began", now)
+        for machine in self.pool.among(MachineState.BOOTING):
+            if machine.answered is not None and now - machine.answered > self._lease:
+                # Deaf, or never there: late copies of what a machine said that was given back.
+                self.lost(machine, "it was answered and doesn't show it", now)
         if not unsettled:
             self._mend_gangs(now)
         self._drain(now)
@@ -436,6 +480,7 @@
         log.info("machine %s lost: %s", machine.name, why)
         machine.move(MachineState.LOST)
         machine.least_session = machine.session + 1
+        machine.told = None
         machine.exited, machine.ended = {}, {}
         machine.tasks_seen = None
         self.book.clear_machine(machine, now)
@@ -471,6 +516,10 @@
             f"tasks: {waits} teams: {teams} machines: {machines} idle: {idling}"
         )
 
+    def silent(self) -> list[Machine]:
+        """Machines that may run what an older holder started and have not been heard in this term."""
+        return [machine for machine in self.pool.among(MachineState.UNSETTLED) if machine.answered is None]
+
     def running_counts(self) -> dict[str, int]:
         return {job: run.running for job, run in self.runs.items() if run.running and not run.over}
 
--- a/gingerspar/coordination/holder/keeper.py
+++ b/gingerspar/coordination/holder/keeper.py
@@ -1,5 +1,6 @@
 """Keeps the term: gives it up, raises it, and says whether this node may command."""
 
+import asyncio
 import logging
 from collections.abc import Callable
 from datetime import timedelta
@@ -25,13 +26,14 @@
 from gingerspar.storage import records
 from gingerspar.storage.budgets import Urgency
 from gingerspar.storage.client import Conflict, LeaseGone, StateClient, Unavailable, Unknown
-from gingerspar.storage.records import TermRecord
+from gingerspar.storage.records import BeatRecord, TermRecord
 from gingerspar.storage.view import Phase, WatchedView
 from gingerspar.transport.clock import Clock
 from gingerspar.transport.peerlink import PeerLink
 
 log = logging.getLogger(__name__)
 
+BEAT = timedelta(seconds=2)  # of a holder that some peer can't hear, in the state service
 TERM_CHECK = timedelta(milliseconds=100)
 QUIET = timedelta(seconds=1)  # a holder that hears no worker for so long asks whether it could
 MOST_DESERTERS = 4  # so many workers are enough to show that the holder doesn't answer
@@ -75,6 +77,8 @@
         self._resigned_since = self._started
         self._own_term = 0  # the last one that this process held
         self._had_authority = False
+        self._beat_sent = self._started
+        self._beating: asyncio.Task[None] | None = None
         self._heard: Callable[[str], bool] = lambda node: False
         self._types: Callable[[], list[MachineType]] = list
         self._make_post: Callable[[Dispatcher], CommandPost]
@@ -114,6 +118,16 @@
             self._view.commands(False)
             post.stop()
 
+    def superseded(self) -> None:
+        """A worker has seen a higher token than this holder's.
+
+        With fresh reads the state service tells of a higher term by itself, and a worker's word alone is not
+        enough. Without them it may be the only one that tells.
+        """
+        if self.post is not None and self._view.age() > FRESH:
+            log.info("resigning: a worker has seen a higher term")
+            self.end()
+
     def _move(self, state: TermState) -> None:
         """The only place where this node's part in the term changes."""
         log.info("term: %s -> %s", self._state.value, state.value)
@@ -123,12 +137,12 @@
         return record is not None and record.holder == self._node and record.term == self._own_term
 
     def _lonely(self, holder: str | None) -> timedelta | None:
-        """Since when workers have come here while the holder says that none reach it."""
+        """Since when workers that hear have come here while the holder says that none reach it."""
         news = self._news.get(holder) if holder is not None else None
         if (
             news is None
             or news.workers > 0
-            or self._visits.workers(self._clock.now()) == 0
+            or self._visits.answering(self._clock.now()) == 0
             or not self._heard(holder or "")
         ):
             self._lonely_since = None
@@ -159,7 +173,7 @@
         news = self._news.get(term[0].holder) if term is not None else None
         if news is None or now - news.heard > SILENT:
             return True
-        return news.state_age > FRESH or not news.dispatching or news.reaches is False
+        return news.state_age > FRESH or not news.dispatching or news.reaches is False or news.workers == 0
 
     def _knowledge(self) -> Knowledge:
         term = self._view.term
@@ -184,6 +198,7 @@
             live_nodes=list(self._view.nodes),
             peers=self._news,
             lonely_since=self._lonely(holder),
+            beat=self._view.beats.get(holder) if holder is not None else None,
             reach=self._reach.look(self._clock.now()),
             cut_off_since=self._holder_cut_off(holder, record.term if record is not None else 0),
             link_up=holder in self._news and holder is not None and self._link.up(holder),
@@ -202,6 +217,7 @@
             if self._view.phase is not Phase.FOLLOWING:
                 continue
             self._watch_authority()
+            self._show_life()
             knowledge = self._knowledge()
             resigning = reason_to_resign(knowledge)
             if resigning is not None:
@@ -212,6 +228,32 @@
             if why is not None:
                 await self._raise(why)
 
+    def _show_life(self) -> None:
+        """While some peer can't hear the holder, it says by way of the state service that it is there.
+
+        Otherwise nothing tells a holder that has lost the state service and all other controllers from one
+        that has lost the others only, until its session ends.
+        """
+        now = self._clock.now()
+        if not self.dispatching() or now - self._beat_sent < BEAT or self._beating is not None:
+            return
+        if all(self._heard(peer) and self._node in self._news[peer].hears for peer in self._live_peers()):
+            return
+        self._beat_sent = now
+        self._beating = asyncio.ensure_future(self._beat())
+
+    def _live_peers(self) -> list[str]:
+        return [peer for peer in self._link.peers if peer in self._view.nodes]
+
+    async def _beat(self) -> None:
+        put = Put(records.beat_key(self._node), records.pack(BeatRecord(self._own_term)))
+        try:
+            await self._client.commit(Transaction([self._session.condition()], [put]), Urgency.SESSION)
+        except (Conflict, LeaseGone, Unavailable, Unknown) as error:
+            log.debug("no sign of life written: %r", error)
+        finally:
+            self._beating = None
+
     async def _raise(self, why: str) -> None:
         claimant = self._session.claimant
         if claimant is None or not await self._view.barrier(timedelta(seconds=1)):
@@ -252,6 +294,7 @@
             objectives=self._facts.objectives,
             today=self._clock.today,
             roster=roster,
+            nodes=self._facts.size,
         )
         self.post = post = self._make_post(dispatcher)
         self._own_term = number
--- a/gingerspar/coordination/jobs/frontdoor.py
+++ b/gingerspar/coordination/jobs/frontdoor.py
@@ -44,6 +44,7 @@
 QUESTION_STEP = timedelta(milliseconds=200)  # so often those are looked for that have waited too long
 POLL_WAIT = timedelta(seconds=1.6)  # users wait 2 s for an answer
 WRITE_WAIT = timedelta(seconds=3.5)  # ... and 5 s for a submission
+ALONE = timedelta(seconds=6)  # without the state service and all peers for so long: others may do better
 STATE_GONE = timedelta(seconds=2.5)  # without a read for so long: no state service
 
 
@@ -52,6 +53,9 @@
     return Answer(status, messages.encode({"error": text}), headers)
 
 
+UNREADABLE = problem(503, "the record is of a newer release", 5)  # never a guess, and never 404
+
+
 def verdict(spec: JobSpec, teams: dict[str, TeamFacts], types: dict[str, MachineType]) -> str | None:
     """Why a job can never run, or None."""
     team = teams.get(spec.team)
@@ -111,12 +115,21 @@
         self.types: Callable[[], dict[str, MachineType]] = dict
         self.running: Callable[[str], int] = lambda job: 0
         self.peer_has_state: Callable[[], bool] = lambda: False
+        self.hears_peers: Callable[[], bool] = lambda: True  # or has none
 
     # -- health ---------------------------------------------------------------
 
     def health(self) -> Answer:
-        """Unhealthy only where another node could do better."""
-        if self._has_state() or (self._view.phase is Phase.FOLLOWING and not self.peer_has_state()):
+        """Unhealthy only where another node could do better, or where that can't be told for long.
+
+        A node without the state service and without any peer used to stay healthy, and its users were told
+        nothing for as long as its cut lasted. Where all are like that, users lose the 3 s after which the
+        load balancer takes a node up again, once.
+        """
+        if self._has_state():
+            return Answer(200, b'{"ok":true}')
+        told = self._view.phase is Phase.FOLLOWING and not self.peer_has_state()
+        if told and (self.hears_peers() or self._view.age() < ALONE):
             return Answer(200, b'{"ok":true}')
         return problem(503, "no state service", 1)
 
@@ -139,6 +152,8 @@
             return self._state(200, job, known)
         if not self._has_state():
             return problem(503, "no state service", 1)
+        if job in self._view.unreadable:
+            return UNREADABLE
         if known is not None or spec is None:
             # An accepted job's id wins over whatever is wrong with this body.
             if not await self._view.barrier(POLL_WAIT):
@@ -250,6 +265,8 @@
             return self._tell(job)  # that changes no more
         if not self._has_state():
             return problem(503, "no state service", 1)
+        if job in self._view.unreadable:
+            return UNREADABLE
         question = _Question(job, self._clock.now() + POLL_WAIT)
         self._questions.append(question)
         self._asked.set()
@@ -297,6 +314,8 @@
                 return self._state(200, job, final.status)
             if not self._has_state():
                 break
+            if job in self._view.unreadable:
+                return UNREADABLE
             entry = self._view.jobs.get(job)
             if entry is None:
                 if not await self._view.barrier(POLL_WAIT):
--- a/gingerspar/coordination/membership/reach.py
+++ b/gingerspar/coordination/membership/reach.py
@@ -28,6 +28,7 @@
 PATIENCE = timedelta(seconds=0.7)  # for one answer
 LATE = timedelta(seconds=0.4)  # a round that took longer than this beyond its time shows only that this node is late
 ROUNDS_MISSED = 2  # without any answer: then the workers are out of reach
+MOST_ASKED = 8  # workers that came here, at once; a few that answer are enough
 
 
 class ReachState(Enum):
@@ -89,18 +90,42 @@
     """Asks a few machines for as long as ``wanted`` says so."""
 
     def __init__(
-        self, reach: Reach, clock: Clock, wanted: Callable[[], bool], addresses: Callable[[], Sequence[str]]
+        self,
+        reach: Reach,
+        visits: Visits,
+        clock: Clock,
+        wanted: Callable[[], bool],
+        addresses: Callable[[], Sequence[str]],
     ) -> None:
         self._reach = reach
+        self._visits = visits
         self._clock = clock
         self._wanted = wanted
         self._addresses = addresses
         self._random = random.Random()
+        self._asking: dict[str, asyncio.Task[None]] = {}  # workers that came here
+
+    def ask_visitors(self) -> None:
+        """Whether workers that came here hear is worth knowing before they count as having left the holder."""
+        if not self._wanted():
+            return
+        for machine, address in self._visits.unasked(MOST_ASKED):
+            if machine not in self._asking and len(self._asking) < MOST_ASKED:
+                self._asking[machine] = asyncio.ensure_future(self._ask_visitor(machine, address))
+
+    async def _ask_visitor(self, machine: str, address: str) -> None:
+        try:
+            if await self._ask(address):
+                self._visits.answers(machine)
+                self._reach.answered(self._clock.now())
+        finally:
+            del self._asking[machine]
 
     async def keep(self) -> None:
         while True:
             await asyncio.sleep(ROUND.total_seconds())
             self._reach.look(self._clock.now())
+            self.ask_visitors()
             addresses = self._addresses() if self._wanted() else ()
             if addresses:
                 await self._round(self._random.sample(list(addresses), min(ASKED, len(addresses))))
@@ -120,11 +145,14 @@
             each.cancel()
 
     async def _ask(self, address: str) -> bool:
-        client = Client(address, connect_timeout=PATIENCE)
+        try:
+            client = Client(address, connect_timeout=PATIENCE)
+        except ValueError:
+            return False  # that is no address
         try:
             async with asyncio.timeout(PATIENCE.total_seconds()):
                 status, _ = await client.request("GET", names.PATH_STATUS, timeout=PATIENCE)
-        except (Unanswered, TimeoutError, ValueError):
+        except (Unanswered, TimeoutError):
             return False
         finally:
             client.close()
--- a/gingerspar/coordination/membership/term.py
+++ b/gingerspar/coordination/membership/term.py
@@ -78,6 +78,7 @@
     resigned: bool = False  # this process held the current term and gave it up
     resigned_since: timedelta = timedelta(0)
     lonely_since: timedelta | None = None  # since then workers come here and none to the holder
+    beat: timedelta | None = None  # when the holder's last sign of life in the state service was read
     reach: ReachState = ReachState.UNKNOWN  # whether this node reaches the workers
     cut_off_since: timedelta | None = None  # since then the holder says that it does not
 
@@ -91,6 +92,7 @@
 NO_WORKERS = timedelta(seconds=5)
 NO_WORKERS_LEFT = timedelta(seconds=1)  # where those that come here are the holder's own
 NO_REACH = timedelta(seconds=0.5)  # after the holder has asked its machines in vain
+NO_BEAT = timedelta(seconds=6)  # three signs of life that a holder would have written in the state service
 STAGGER = timedelta(milliseconds=500)
 SAME_AGE = timedelta(seconds=5)  # processes that began within it are taken to be as old
 SETTLING_IN = timedelta(seconds=4)  # a new holder gets this long before it is judged
@@ -125,6 +127,10 @@
         # New machines' first reports come here in any case.
         if k.deserters >= k.deserters_needed and not k.link_up:
             return _in_turn(k, "the holder is silent and workers come here", k.now - silence + SILENT)
+        # It may have lost the state service as well and keep its workers: then nobody comes here.
+        last = max(k.now - silence, k.term_seen, k.beat or k.started)
+        if k.now - last > NO_BEAT:
+            return _in_turn(k, "the holder is silent, in the state service as well", last + NO_BEAT)
         return None
     if news is None:
         return None
--- a/gingerspar/coordination/membership/visits.py
+++ b/gingerspar/coordination/membership/visits.py
@@ -1,41 +1,79 @@
-"""Which workers have reported to this node lately."""
+"""Which workers have reported to this node lately, and which of them hear an answer."""
 
 from collections import Counter, OrderedDict
 from datetime import timedelta
+from itertools import islice
 
 RECENT = timedelta(seconds=3)  # a worker's report counts as recent for so long
+MOST_REMEMBERED = 5000  # workers whose newest report is known, so that copies of older ones count for nothing
 
 
 class Visits:
-    """The latest report of each worker, with the token that it had seen; counted as they come and go."""
+    """The latest report of each worker, with the token that it had seen; counted as they come and go.
+
+    A report alone shows only that its sender was alive when it wrote it: it may be a copy that comes
+    late, or come from a machine that no answer reaches and that goes round all controllers for good.
+    What is to show that the holder is gone is a worker that has come here and answers a question.
+    """
 
     def __init__(self) -> None:
-        self._visits: OrderedDict[str, tuple[timedelta, int]] = OrderedDict()
+        self._visits: OrderedDict[str, tuple[timedelta, int, str]] = OrderedDict()  # with its address
         self._tokens: Counter[int] = Counter()
+        self._newest: OrderedDict[str, tuple[int, int]] = OrderedDict()  # session and number of each worker's report
+        self._answered: dict[str, int] = {}  # of those that have come lately, with their tokens
         self.last: timedelta | None = None  # when the latest of all came
 
-    def add(self, machine: str, token: int, now: timedelta) -> None:
+    def add(self, machine: str, address: str, order: tuple[int, int], token: int, now: timedelta) -> None:
+        """A report came; ``order`` is its session and number. Copies and older ones count for nothing."""
+        if order <= self._newest.get(machine, (0, 0)):
+            return
+        self._newest[machine] = order
+        self._newest.move_to_end(machine)
+        if len(self._newest) > MOST_REMEMBERED:
+            self._newest.popitem(last=False)
         known = self._visits.pop(machine, None)
         if known is not None:
-            self._forget(known[1])
-        self._visits[machine] = (now, token)
+            self._tokens.subtract((known[1],))
+        self._visits[machine] = (now, token, address)
         self.last = now
         self._tokens[token] += 1
+        if machine in self._answered:
+            self._answered[machine] = token
+
+    def answers(self, machine: str) -> None:
+        """A worker that has come here has answered a question of this node's."""
+        visit = self._visits.get(machine)
+        if visit is not None:
+            self._answered[machine] = visit[1]
 
-    def _forget(self, token: int) -> None:
-        self._tokens[token] -= 1
-        if not self._tokens[token]:
-            del self._tokens[token]
+    def unasked(self, most: int) -> list[tuple[str, str]]:
+        """Those that came last and have not answered yet, with their addresses; none once ``most`` have answered."""
+        if len(self._answered) >= most:
+            return []
+        coming = ((name, self._visits[name][2]) for name in reversed(self._visits) if name not in self._answered)
+        return list(islice(coming, most))
 
     def workers(self, now: timedelta) -> int:
         while self._visits:
-            machine, (when, token) = next(iter(self._visits.items()))
+            machine, (when, token, _) = next(iter(self._visits.items()))
             if now - when <= RECENT:
                 break
             del self._visits[machine]
-            self._forget(token)
+            self._answered.pop(machine, None)
+            self._tokens[token] -= 1
+            if not self._tokens[token]:
+                del self._tokens[token]
         return len(self._visits)
 
-    def deserters(self, term: int) -> int:
-        """Workers that have come here although the holder of this term had them."""
+    def answering(self, now: timedelta) -> int:
+        """Of the workers that have come here lately, those that have answered a question."""
+        self.workers(now)
+        return len(self._answered)
+
+    def came(self, term: int) -> int:
+        """Workers that have come here although the holder of this term had them, whether they hear or not."""
         return sum(count for token, count in self._tokens.items() if token >= term)
+
+    def deserters(self, term: int) -> int:
+        """Those of them that have answered a question."""
+        return sum(token >= term for token in self._answered.values())
--- a/gingerspar/coordination/placing/placer.py
+++ b/gingerspar/coordination/placing/placer.py
@@ -157,7 +157,10 @@
                 self._book.backlog.seen(run)
         else:
             machines = self._with_room(run) if among is None else self._usable(run, among)
-            if machines and self._careful(run.spec):
+            late = run.order[0] == FIRST and self._book.late_to_begin(run, now)
+            if late and among is None:
+                machines = self._kept_for(run, machines, now)
+            if machines and not late and self._careful(run.spec):
                 machines = self._beside_accelerated(run.spec, machines)
             if not machines and among is not None and not run.failures:
                 spec = run.spec
@@ -165,7 +168,7 @@
                     Least(spec.cpus, spec.gpus, spec.memory_gb)
                 )
             if machines:
-                self._place_tasks(run, machines, team_room, now)
+                self._place_tasks(run, machines, 1 if late else team_room, now, late=late)
             if not run.open or self._book.team_room(run.spec) > 0:
                 self._book.backlog.seen(run)  # else it is the limit that it waits for
 
@@ -246,8 +249,9 @@
             book.book(run, counts, now)  # the new attempt is on its way
             return
         log.debug("gang %s placed", spec.job)
+        late = book.late_to_begin(run, now)  # else what is more urgent would stop it at once
         for number, machine in enumerate(found):
-            book.plan(run, number, machine, now)
+            book.plan(run, number, machine, now, shielded=late)
         run.set_gang(GangState.PLACED)
         book.backlog.refile(run, now)
 
@@ -256,10 +260,39 @@
 
     # -- arrays and services --------------------------------------------------
 
-    def _place_tasks(self, run: JobRun, machines: list[Machine], team_room: int, now: timedelta) -> None:
+    def _kept_for(self, run: JobRun, machines: list[Machine], now: timedelta) -> list[Machine]:
+        """Machines for the first task of a job that is late to begin.
+
+        On a full fleet gangs keep each place that comes free, and a task that takes most of a machine finds
+        no room while small ones take them. So it keeps a place on the machine that will have it first, and
+        what gangs keep there gives way once that is enough.
+        """
+        spec, book = run.spec, self._book
+        kept = [machine for machine in run.booked if book.pool.takes_tasks(machine)]
+        book.unbook(run)
+        machines = machines or [machine for machine in kept if self._ready(machine, spec)]
+        if machines:
+            return machines
+        gang = book.first_gang(now)
+        spared = gang.booked if gang is not None else {}
+        kept = [machine for machine in kept if machine not in spared] or book.pool.emptied(spec, spared, now)
+        if not kept:
+            return []
+        if fits(spec, *kept[0].unused()):
+            for job in list(book.bookers.get(kept[0].name, ())):
+                book.unbook(book.runs[job])
+            if self._ready(kept[0], spec):
+                return kept
+        book.book(run, {kept[0]: 1}, now)
+        return []
+
+    def _place_tasks(
+        self, run: JobRun, machines: list[Machine], team_room: int, now: timedelta, *, late: bool = False
+    ) -> None:
+        """``late``: its first task, which goes before all others' and isn't stopped for them."""
         spec, book = run.spec, self._book
-        careful = self._careful(spec)
-        if spec.priority.rank > Priority.HIGH.rank and book.can_wait(run, now):
+        careful = self._careful(spec) and not late
+        if not late and spec.priority.rank > Priority.HIGH.rank and book.can_wait(run, now):
             dear = self._prolonging(spec, now)
             machines = [machine for machine in machines if not dear(machine)]
         zones = placing.zone_room(spec, run.live) if spec.one_zone or spec.spread else None
@@ -269,7 +302,7 @@
         before_others = run.order[0] == FIRST
         for machine in machines:
             room = machine.room_for(spec)
-            shielded = before_others and book.services.contended(run, machine)
+            shielded = late or (before_others and book.services.contended(run, machine))
             if shielded:
                 room = min(room, book.services.left(run))  # the rest is for more urgent work
             for number in list(run.open[: room + len(machine.exited)]):
@@ -286,7 +319,9 @@
                     zones = placing.zone_room(spec, run.live)
             if left <= 0 or not run.open:
                 break
-        book.backlog.refile(run, now)
+        if late and run.places:
+            book.backlog.reorder(run, book.order(run, now))
+        book.backlog.refile(run, now, fresh=late and bool(run.places))
 
     def _prolonging(self, spec: JobSpec, now: timedelta) -> Callable[[Machine], bool]:
         """Tells whether a dear machine would have to stay longer for a task of the job."""
--- a/gingerspar/coordination/placing/room.py
+++ b/gingerspar/coordination/placing/room.py
@@ -88,7 +88,11 @@
         spec = run.spec
         if not self._ripe(run, now) or spec.spread:
             return
-        if run.booked_since is not None and now - run.booked_since > KEEP_AT_MOST:
+        if (
+            run.booked_since is not None
+            and now - run.booked_since > KEEP_AT_MOST
+            and self._book.first_gang(now) is not run
+        ):
             if now - run.booked_since < KEEP_AT_MOST + KEEP_PAUSE:
                 return  # it had its time: others must not starve for it
             run.booked_since = None
--- a/gingerspar/storage/records.py
+++ b/gingerspar/storage/records.py
@@ -13,6 +13,7 @@
 NODES = PREFIX + "n/"
 ROSTER = PREFIX + "r/"
 TERM = PREFIX + "term"
+BEATS = PREFIX + "b/"
 
 
 def job_key(job: str) -> str:
@@ -23,6 +24,10 @@
     return NODES + node
 
 
+def beat_key(node: str) -> str:
+    return BEATS + node
+
+
 def finished_key(job: str, chunk: int) -> str:
     return f"{FINISHED}{job}/{chunk:04d}"
 
@@ -148,6 +153,12 @@
     lease: int = 0  # so that the node's next process can go on with the session
 
 
+class BeatRecord(msgspec.Struct, frozen=True):
+    """A sign of life by way of the state service; each is a new version."""
+
+    term: int
+
+
 class TermRecord(msgspec.Struct, frozen=True):
     """Who commands the machines; ``term`` is the token that workers compare."""
 
--- a/gingerspar/storage/view.py
+++ b/gingerspar/storage/view.py
@@ -77,6 +77,8 @@
         self.node_records: dict[str, NodeRecord] = {}
         self.roster: dict[str, tuple[RosterRecord, int]] = {}  # by key: a group of machines each
         self.term: tuple[TermRecord, int] | None = None
+        self.beats: dict[str, timedelta] = {}  # when a sign of life of each node was last read here
+        self.unreadable: set[str] = set()  # jobs with a newer record than this program can read
         self._gone: dict[str, int] = {}  # tombstones of our own deletions until the watch passes them
         self._chunks: dict[str, dict[int, tuple[str, int]]] = {}
         self._latest: deque[str] = deque()  # final jobs whose description is still kept
@@ -247,6 +249,8 @@
             self._apply_roster(key, value, version)
         elif key.startswith(records.FINISHED):
             self._apply_chunk(key[len(records.FINISHED) :], value, version)
+        elif key.startswith(records.BEATS):
+            self.beats[key[len(records.BEATS) :]] = self._clock.now()
         elif key == records.TERM and value is not None and (self.term is None or self.term[1] < version):
             self.term = (msgspec.json.decode(value, type=TermRecord), version)
             for listener in self.on_term:
@@ -258,7 +262,16 @@
             return
         if value is None:
             return  # job records are never deleted
-        record = msgspec.json.decode(value, type=JobRecord)
+        try:
+            record = msgspec.json.decode(value, type=JobRecord)
+        except msgspec.MsgspecError as error:
+            # One record that can't be read must not keep all others from being followed. What is known of
+            # the job stays as it is, and nothing can be written over it: its version is another one now.
+            if job not in self.unreadable:
+                log.error("record of %s can't be read: %s", job, error)
+            self.unreadable.add(job)
+            return
+        self.unreadable.discard(job)
         if record.status.final:
             self.jobs.pop(job, None)
             self._chunks.pop(job, None)
