Submissions and cancellations use half a second of the write rate ahead

Ruled out: the limit as such (8 submissions a second need a third of it), the order of the queue (users are first in it).

Change: what is as urgent as a user may use half a second of the node's share of the rate ahead; what is less urgent waits the longer, so that the rate holds. After a 429 nobody goes for its pause, whoever it is: without that an order to the cloud left at once (test_command caught it).

--- a/gingerspar/storage/budgets.py
+++ b/gingerspar/storage/budgets.py
@@ -9,6 +9,9 @@
 from gingerspar.transport.clock import Clock
 
 DEMAND_SPAN = timedelta(seconds=0.5)
+# Of the rate to come, users' writes may use so much ahead, and what is less urgent then waits the longer: with all
+# of the limit in use, each submission waited for what claims and results had taken (kerlann-fonts-ops visitors).
+AHEAD = timedelta(seconds=0.5)
 
 
 class Urgency(IntEnum):
@@ -30,6 +33,7 @@
         self._burst = burst
         self._level = burst
         self._at = clock.now()
+        self._closed_until = self._at
         self._order = 0
         self._waiting: SortedList[tuple[int, int]] = SortedList()
         self._lacking = 0.0  # units that are waited for
@@ -76,7 +80,9 @@
                 self._refill()
                 # The burst may have become smaller meanwhile: what it can't hold goes into debt.
                 enough = min(units, self._burst)
-                if self._waiting[0] == ticket and self._level >= enough:
+                if urgency <= Urgency.USER:
+                    enough -= self._rate * AHEAD.total_seconds()
+                if self._waiting[0] == ticket and self._level >= enough and self._at >= self._closed_until:
                     self._level -= units
                     self._taken += units
                     return
@@ -90,3 +96,4 @@
         """The other side says that too much came: nothing for a while."""
         self._refill()
         self._level = min(self._level, -pause.total_seconds() * self._rate)
+        self._closed_until = self._at + pause  # for those as well who may use something ahead
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -1,6 +1,7 @@
 """The write budget: by urgency, within the rate, and shared by demand."""
 
 import asyncio
+from datetime import timedelta
 
 from gingerspar.controller import Controller
 from gingerspar.protocol import peers
@@ -50,6 +51,36 @@
     assert asyncio.run(_urgent_first()) == ["cancel", "result", "sweep"]
 
 
+class _Clock(Clock):
+    """Moved by hand."""
+
+    at = timedelta(0)
+
+    def now(self) -> timedelta:
+        return self.at
+
+
+async def _ahead() -> list[bool]:
+    """Who need not wait at 10 units a second: results use all that is saved up, then users come, then results again."""
+    clock = _Clock()
+    budget = Budget(clock, 10, 10)
+    asked = [Urgency.RESULT] * 10 + [Urgency.USER] * 6
+    takes = [asyncio.ensure_future(budget.take(1, urgency)) for urgency in asked]
+    await asyncio.sleep(0)
+    at_once = [take.done() for take in takes]
+    clock.at += timedelta(seconds=0.5)  # what users had ahead is paid back first
+    late = asyncio.ensure_future(budget.take(1, Urgency.RESULT))
+    await asyncio.sleep(0.3)
+    at_once += [takes[-1].done(), late.done()]
+    for take in (*takes, late):
+        take.cancel()
+    return at_once
+
+
+def test_a_user_does_not_wait_for_what_results_have_taken() -> None:
+    assert asyncio.run(_ahead()) == [True] * 10 + [True] * 5 + [False] + [True, False]
+
+
 def test_the_write_limit_is_split_by_demand() -> None:
     busy, idle = _client(Clock()), _client(Clock())
     idle.share_writes([20.0, 0.0, 0.0, 0.0])
