What has waited for 90 s is claimed whatever its team has claimed

Change: a record that is 90 s old is claimed all the same, as the holder keeps the limit task by task. The log names a job that has not begun only once it has been waiting for 20 s in this term: before, it may be running on a machine that has not reported.

--- a/gingerspar/coordination/books/begin.py
+++ b/gingerspar/coordination/books/begin.py
@@ -16,6 +16,7 @@
 
 BEGIN_BY = timedelta(seconds=120)  # after its submission; the rest of the four minutes is for room and its image
 BEGIN_AT_LAST = timedelta(minutes=4)
+KNOWN_AFTER = timedelta(seconds=20)  # in a term's books: by then most machines have said what runs on them
 LARGEST = 0.1  # of a class, by tasks or by work; one at the least
 MOST_COUNTED = 2000  # jobs of one class
 
--- a/gingerspar/coordination/books/book.py
+++ b/gingerspar/coordination/books/book.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from gingerspar.coordination.books.begin import BEGIN_AT_LAST, BEGIN_BY, Largest
+from gingerspar.coordination.books.begin import BEGIN_AT_LAST, BEGIN_BY, KNOWN_AFTER, Largest
 from gingerspar.coordination.books.ends import Ends
 from gingerspar.coordination.books.estimates import Estimates
 from gingerspar.coordination.books.ledger import (
@@ -304,6 +304,8 @@
         """Once for each job that the four minutes have passed for."""
         if run.begun or run.told_unbegun or run.failures or now - run.submitted < BEGIN_AT_LAST:
             return
+        if run.waiting_since is None or now - run.waiting_since < KNOWN_AFTER:
+            return  # in a new term it may run on a machine that has not reported yet
         run.told_unbegun = True
         size = "among the largest" if self.largest.among(run.spec) else "not among the largest"
         log.warning(
--- a/gingerspar/coordination/jobs/claims.py
+++ b/gingerspar/coordination/jobs/claims.py
@@ -28,6 +28,7 @@
 
 log = logging.getLogger(__name__)
 
+CLAIM_BY = timedelta(seconds=90)  # after its submission, whatever its team has claimed
 LEFT_OVER = timedelta(seconds=1)  # a record claimable for so long is claimed by whoever's turn it is
 NOTHING = timedelta(0)
 ROUNDING = 1e-6  # of sums that are added to and taken from
@@ -95,15 +96,26 @@
     def __init__(self) -> None:
         self._sums: dict[tuple[str, int], tuple[float, float]] = {}
         self._jobs: dict[str, tuple[tuple[str, int], float, float]] = {}
+        self._overdue: set[str] = set()
 
-    def see(self, job: str, entry: Versioned | None) -> None:
-        """A new version of a record; None: the job is over."""
+    def see(self, job: str, entry: Versioned | None, *, overdue: bool = False) -> None:
+        """A new version of a record; None: the job is over.
+
+        One that is ``overdue`` when it is first seen claimed counts with one task: it was claimed to begin,
+        and must not keep all others of its team from being claimed.
+        """
         known = self._jobs.pop(job, None)
         if known is not None:
             self._add(known[0], -known[1], -known[2])
-        if entry is not None and entry.record.status is JobStatus.RUNNING:
-            self._jobs[job] = (_whose(entry), *_left(entry))
-            self._add(*self._jobs[job])
+        if entry is None or entry.record.status is not JobStatus.RUNNING:
+            self._overdue.discard(job)
+            return
+        if overdue and known is None:
+            self._overdue.add(job)
+        cpus, gpus = _left(entry)
+        part = 1 / max(entry.record.spec.tasks - len(entry.finished), 1) if job in self._overdue else 1.0
+        self._jobs[job] = (_whose(entry), cpus * part, gpus * part)
+        self._add(*self._jobs[job])
 
     def _add(self, whose: tuple[str, int], cpus: float, gpus: float) -> None:
         sums = self._sums.get(whose, (0.0, 0.0))
@@ -194,7 +206,7 @@
 
     def _job_changed(self, job: str) -> None:
         entry = self._view.jobs.get(job)
-        self._held.see(job, entry)
+        self._held.see(job, entry, overdue=entry is not None and self._overdue(entry))
         if entry is not None and entry.record.status is JobStatus.PENDING:
             if job not in self._orders:
                 order = self._turns.order(entry.record)
@@ -265,17 +277,25 @@
         nodes = sorted(self._view.nodes)
         for job in self._pending.values():
             entry = self._view.jobs[job]
-            if held.over_limit(self._teams, entry):
+            # One that has waited long is claimed all the same, so that it can begin: the holder keeps the limit, task
+            # by task. Large ones come last here, and waited for minutes while their team had all that it may have
+            # claimed (kerlann-fonts-ops inc-e135).
+            overdue = self._overdue(entry)
+            if not overdue and held.over_limit(self._teams, entry):
                 self._since[job] = now  # else all nodes would claim it at once when the team has room
                 continue
             waited = now - self._since[job] - LEFT_OVER
             if job in self._accepted or (waited >= NOTHING and waited >= NEXT_TURN * self._turn(job, nodes)):
-                held.add(entry)
+                if not overdue:
+                    held.add(entry)
                 batch.append(Change(job, entry.version, claimed(entry, claimant, term[0].term)))
                 if len(batch) >= most:
                     break
         return batch
 
+    def _overdue(self, entry: Versioned) -> bool:
+        return self._clock.today().timestamp() - entry.record.submitted >= CLAIM_BY.total_seconds()
+
     def _turn(self, job: str, nodes: list[str]) -> int:
         """This node's place among the live ones for a record that nobody else has claimed.
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from gingerspar.coordination.books.turns import Turns
-from gingerspar.coordination.jobs.claims import Change, Claims, Held, claimed, with_results
+from gingerspar.coordination.jobs.claims import CLAIM_BY, Change, Claims, Held, claimed, with_results
 from gingerspar.coordination.jobs.reconciler import lapsed
 from gingerspar.protocol import messages
 from gingerspar.protocol.messages import JobStatus, KeyVersion, Priority
@@ -176,6 +176,25 @@
     assert world.record["status"] == "done"
 
 
+def test_what_has_waited_long_is_claimed_past_the_limit() -> None:
+    """kerlann-fonts-ops inc-e135: the largest rendering jobs waited for their claim until four minutes had passed."""
+    world = World()
+    spec = messages.parse_job(job(2, Pieces=9))
+    just_now = world.a._clock.today().timestamp()
+    claim = JobRecord(spec, JobStatus.RUNNING, 1, Claimant("B", 2), submitted=just_now)
+    world._put(records.job_key("wk-000002"), claim)
+    world.read(world.a._view)
+    world.a._teams = {"red": TeamFacts("red", cpus_max=16)}
+    waited = [10.0, CLAIM_BY.total_seconds() + 1]
+    found = []
+    for seconds in waited:
+        entry = world.a._view.jobs["wk-000001"]
+        entry.record = msgspec.structs.replace(entry.record, submitted=just_now - seconds)
+        world.a.accepted("wk-000001")
+        found.append([change.job for change in world.a._next_claims(timedelta(0))])
+    assert found == [[], ["wk-000001"]]
+
+
 def test_claims_past_the_limit_are_skipped() -> None:
     teams = {"red": TeamFacts("red", cpus_max=16)}
 
@@ -196,6 +215,12 @@
     more.add(entry(6, JobStatus.PENDING, Pieces=2))
     assert more.over_limit(teams, entry(5, JobStatus.PENDING))
     assert not held.over_limit(teams, entry(5, JobStatus.PENDING))
+    # What was claimed late, so that it can begin, counts with one task: the others are claimed as before.
+    held.see("wk-000007", entry(7, JobStatus.PENDING, Pieces=50), overdue=True)
+    held.see("wk-000007", entry(7, JobStatus.RUNNING, Pieces=50), overdue=True)
+    assert not held.over_limit(teams, entry(5, JobStatus.PENDING))
+    held.see("wk-000007", entry(7, JobStatus.RUNNING, Pieces=50), overdue=True)  # a result was written
+    held.see("wk-000007", None)
     held.see("wk-000001", None)
     assert held.with_more()._sums == {("red", Priority.NORMAL.rank): (0.0, 0.0)}
     assert claimed(small, Claimant("A", 1), 3).attempt == 1
