Terms under signs of life, elections with ends in the middle, records that can't be read

Workers that the new holder had told of its token were on their way from the old one; a third controller, to which links were refused, took them for workers that had left the new holder, and raised the term 4 s after it. Ruled out: that the new holder did not show itself; its sign of life was 1 s old.

Change: while a holder's sign of life in the state service is under 3.5 s old, workers that come elsewhere show nothing and are sent to it. One that answers a question with a far later report than the one that came was not there: it was a late copy. A record that can't be read leaves the books of what may be claimed or written, so that it can't make others' transactions fail with it.

--- a/gingerspar/coordination/holder/command.py
+++ b/gingerspar/coordination/holder/command.py
@@ -188,6 +188,8 @@
     def _record_changed(self, job: str) -> None:
         entry = self._view.jobs.get(job)
         now = self._clock.now()
+        if job in self._view.unreadable:
+            return  # what runs of it runs on
         if entry is None:
             done = self._view.status_of(job) is JobStatus.DONE
             self.dispatcher.set_record(job, None, None, now, done=done)
--- a/gingerspar/coordination/membership/reach.py
+++ b/gingerspar/coordination/membership/reach.py
@@ -16,7 +16,8 @@
 from enum import Enum
 
 from gingerspar.coordination.membership.visits import Visits
-from gingerspar.protocol import names
+from gingerspar.protocol import messages, names
+from gingerspar.protocol.messages import Malformed, Report
 from gingerspar.transport.client import Client, Unanswered
 from gingerspar.transport.clock import Clock
 
@@ -115,8 +116,9 @@
 
     async def _ask_visitor(self, machine: str, address: str) -> None:
         try:
-            if await self._ask(address):
-                self._visits.answers(machine)
+            report = await self._ask(address)
+            if report is not None:
+                self._visits.answers(machine, (report.session, report.seq))
                 self._reach.answered(self._clock.now())
         finally:
             del self._asking[machine]
@@ -134,7 +136,7 @@
         began = self._clock.now()
         asking = [asyncio.ensure_future(self._ask(address)) for address in addresses]
         for answer in asyncio.as_completed(asking):
-            if await answer:
+            if await answer is not None:
                 self._reach.answered(self._clock.now())
                 break
         else:
@@ -144,16 +146,17 @@
         for each in asking:
             each.cancel()
 
-    async def _ask(self, address: str) -> bool:
+    async def _ask(self, address: str) -> Report | None:
+        """The machine's report as of now; None if there is no answer."""
         try:
             client = Client(address, connect_timeout=PATIENCE)
         except ValueError:
-            return False  # that is no address
+            return None  # that is no address
         try:
             async with asyncio.timeout(PATIENCE.total_seconds()):
-                status, _ = await client.request("GET", names.PATH_STATUS, timeout=PATIENCE)
-        except (Unanswered, TimeoutError):
-            return False
+                status, body = await client.request("GET", names.PATH_STATUS, timeout=PATIENCE)
+                return messages.decode(Report, body) if status == 200 else None
+        except (Unanswered, TimeoutError, Malformed):
+            return None
         finally:
             client.close()
-        return status == 200
--- a/gingerspar/coordination/membership/term.py
+++ b/gingerspar/coordination/membership/term.py
@@ -92,6 +92,7 @@
 NO_WORKERS = timedelta(seconds=5)
 NO_WORKERS_LEFT = timedelta(seconds=1)  # where those that come here are the holder's own
 NO_REACH = timedelta(seconds=0.5)  # after the holder has asked its machines in vain
+BEAT_FRESH = timedelta(seconds=3.5)  # one sign of life, and the time to write and read it
 NO_BEAT = timedelta(seconds=6)  # three signs of life that a holder would have written in the state service
 STAGGER = timedelta(milliseconds=500)
 SAME_AGE = timedelta(seconds=5)  # processes that began within it are taken to be as old
@@ -125,7 +126,10 @@
         # Connections between controllers alone may be refused, and the term must not go to and
         # fro for that: only workers that the holder had show that it doesn't answer any more.
         # New machines' first reports come here in any case.
-        if k.deserters >= k.deserters_needed and not k.link_up:
+        # Nor do they while it shows itself in the state service: they may be on their way to it from an older
+        # holder, told of its token (bench/days/workers-alone: a term of 4 s).
+        shown = k.beat is not None and k.now - k.beat <= BEAT_FRESH
+        if k.deserters >= k.deserters_needed and not k.link_up and not shown:
             return _in_turn(k, "the holder is silent and workers come here", k.now - silence + SILENT)
         # It may have lost the state service as well and keep its workers: then nobody comes here.
         last = max(k.now - silence, k.term_seen, k.beat or k.started)
--- a/gingerspar/coordination/membership/visits.py
+++ b/gingerspar/coordination/membership/visits.py
@@ -5,6 +5,7 @@
 from itertools import islice
 
 RECENT = timedelta(seconds=3)  # a worker's report counts as recent for so long
+ASKED_MEANWHILE = 4  # answers that a worker may have given to this node and its peers since it came
 MOST_REMEMBERED = 5000  # workers whose newest report is known, so that copies of older ones count for nothing
 
 
@@ -40,10 +41,13 @@
         if machine in self._answered:
             self._answered[machine] = token
 
-    def answers(self, machine: str) -> None:
-        """A worker that has come here has answered a question of this node's."""
-        visit = self._visits.get(machine)
-        if visit is not None:
+    def answers(self, machine: str, order: tuple[int, int]) -> None:
+        """A worker that has come here has answered a question, with a report of this session and number.
+
+        If it has said more since it came, what came was a late copy: it reports to another node.
+        """
+        visit, came = self._visits.get(machine), self._newest.get(machine, (0, 0))
+        if visit is not None and order[0] == came[0] and order[1] - came[1] <= ASKED_MEANWHILE:
             self._answered[machine] = visit[1]
 
     def unasked(self, most: int) -> list[tuple[str, str]]:
--- a/gingerspar/storage/view.py
+++ b/gingerspar/storage/view.py
@@ -265,11 +265,14 @@
         try:
             record = msgspec.json.decode(value, type=JobRecord)
         except msgspec.MsgspecError as error:
-            # One record that can't be read must not keep all others from being followed. What is known of
-            # the job stays as it is, and nothing can be written over it: its version is another one now.
+            # One record that can't be read must not keep all others from being followed, nor the writes of
+            # others that would share a transaction with it.
             if job not in self.unreadable:
                 log.error("record of %s can't be read: %s", job, error)
-            self.unreadable.add(job)
+                self.unreadable.add(job)
+                self.jobs.pop(job, None)
+                for listener in self.on_job:
+                    listener(job)
             return
         self.unreadable.discard(job)
         if record.status.final:
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -6,10 +6,12 @@
 
 import pytest
 
-from gingerspar.protocol.messages import Changes
+from gingerspar.protocol.messages import Changes, JobStatus, parse_job
 from gingerspar.storage.client import Unavailable
+from gingerspar.storage.records import JobRecord, pack
 from gingerspar.storage.view import ASK_AGAIN, Phase, WatchedView
 from gingerspar.transport.clock import Clock
+from tests.standins.cluster import job
 
 
 class _Client:
@@ -59,6 +61,22 @@
     assert asyncio.run(_read(_Client(0.01, 0.01)))[2] == 1
 
 
+def test_a_record_that_can_not_be_read_keeps_no_other_from_being_followed() -> None:
+    """One record of a newer release made each read fail: every poll for an unknown id was 503."""
+    service: Any = _Client()
+    view = WatchedView(service, Clock(), rps=100, nodes=3)
+    changed: list[str] = []
+    view.on_job.append(changed.append)
+    first, other = (JobRecord(parse_job(job(number)), JobStatus.PENDING) for number in (1, 2))
+    newer = bytes(pack(first)).replace(b'"pending"', b'"paused"')
+    for version, (number, value) in enumerate([(1, bytes(pack(first))), (1, newer), (2, bytes(pack(other)))], 1):
+        view.apply(f"gs/j/wk-{number:06d}", value, version)
+    assert (set(view.jobs), view.unreadable) == ({"wk-000002"}, {"wk-000001"})
+    assert changed == ["wk-000001", "wk-000001", "wk-000002"]
+    view.apply("gs/j/wk-000001", bytes(pack(first)), 4)
+    assert (set(view.jobs), view.unreadable) == ({"wk-000001", "wk-000002"}, set())
+
+
 def test_a_refusal_is_no_answer() -> None:
     with pytest.raises(Unavailable):
         asyncio.run(_read(_Client(None)))
