No term moves as an outage ends

Ruled out: the holder's authority (24 s, the outage took 15).

Change: that the holder is without the state service counts only for a node that has read it without a gap for 1.5 s itself. Where a holder alone has lost it, that is long true, and the time to the next term is as before.

Conclusion: two cases more in tests/test_term.py; the first fails without the change.

--- a/gingerspar/coordination/holder/keeper.py
+++ b/gingerspar/coordination/holder/keeper.py
@@ -77,6 +77,7 @@
         self._resigned_since = self._started
         self._own_term = 0  # the last one that this process held
         self._had_authority = False
+        self._fresh_since = self._started
         self._beat_sent = self._started
         self._beating: asyncio.Task[None] | None = None
         self._heard: Callable[[str], bool] = lambda node: False
@@ -198,6 +199,7 @@
             live_nodes=list(self._view.nodes),
             peers=self._news,
             lonely_since=self._lonely(holder),
+            fresh_since=self._fresh_since,
             beat=self._view.beats.get(holder) if holder is not None else None,
             reach=self._reach.look(self._clock.now()),
             cut_off_since=self._holder_cut_off(holder, record.term if record is not None else 0),
@@ -216,6 +218,8 @@
             await self._strain.sleep(TERM_CHECK)  # its timer is also the pulse
             if self._view.phase is not Phase.FOLLOWING:
                 continue
+            if self._view.age() > FRESH:
+                self._fresh_since = self._clock.now()
             self._watch_authority()
             self._show_life()
             knowledge = self._knowledge()
--- a/gingerspar/coordination/membership/term.py
+++ b/gingerspar/coordination/membership/term.py
@@ -78,6 +78,7 @@
     resigned: bool = False  # this process held the current term and gave it up
     resigned_since: timedelta = timedelta(0)
     lonely_since: timedelta | None = None  # since then workers come here and none to the holder
+    fresh_since: timedelta = timedelta(0)  # since then this node has read the state service without a gap
     beat: timedelta | None = None  # when the holder's last sign of life in the state service was read
     reach: ReachState = ReachState.UNKNOWN  # whether this node reaches the workers
     cut_off_since: timedelta | None = None  # since then the holder says that it does not
@@ -89,6 +90,7 @@
 # unsettled for seconds, while a holder without reads goes on with the claims that its peers hand it
 # (kerlann-fonts-fleet loss: two changes of term in a minute of slow answers).
 STALE_HOLDER = timedelta(seconds=4)
+REGAINED = timedelta(seconds=1.5)  # so long after an outage others may still be without
 NO_WORKERS = timedelta(seconds=5)
 NO_WORKERS_LEFT = timedelta(seconds=1)  # where those that come here are the holder's own
 NO_REACH = timedelta(seconds=0.5)  # after the holder has asked its machines in vain
@@ -138,7 +140,8 @@
         return None
     if news is None:
         return None
-    if news.state_age > STALE_HOLDER:
+    # After an outage some node reads first, and must not take the term from a holder that is about to read.
+    if news.state_age > STALE_HOLDER and k.now - k.fresh_since > REGAINED:
         return _in_turn(k, "the holder has no state service", k.now - (news.state_age - STALE_HOLDER))
     if not news.dispatching and news.term >= k.term:
         return _in_turn(k, "the holder gave up", k.now - silence)
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -97,6 +97,12 @@
     "the holder has lost the state service, this node has not": ({"peers": {"n1": news(state_age=6)}}, True),
     # kerlann-fonts-fleet loss: slow answers alone moved the term twice, each time with all machines unsettled.
     "the holder has had slow answers": ({"peers": {"n1": news(state_age=3.5)}}, False),
+    # questions-while-silent: the term moved as an outage ended, by the node that happened to read first.
+    "an outage has just ended, the holder has not read yet": (
+        {"peers": {"n1": news(state_age=16)}, "fresh_since": s(99)},
+        False,
+    ),
+    "an outage has ended, but not for the holder": ({"peers": {"n1": news(state_age=18)}, "fresh_since": s(98)}, True),
     "nobody has the state service": ({"peers": {"n1": news(state_age=6)}, "state_age": s(6)}, False),
     # A spurious change of term on a quiet day: one new worker came here first.
     "a first worker comes here just now": (
