A finish is a beginning, and the place that comes free first is the one that is kept

All controllers had ended in the flood; results of jobs that are not complete are written last, and to the next holder a task that its machine still listed as done was no beginning. And a job that is late to begin kept its place on the machine whose tasks end first all together, not on the one where enough ends first.

Change: a finish counts as a beginning, whoever saw it; the place kept is where enough will have ended first.

Conclusion: a test for each.

--- a/gingerspar/coordination/books/book.py
+++ b/gingerspar/coordination/books/book.py
@@ -240,6 +240,7 @@
 
     def done(self, run: JobRun, number: int) -> bool:
         """A task has completed; true if that is news."""
+        run.begun = True  # an older holder may have started it
         # The tasks of a gang complete together: if one is done, all are.
         numbers = range(run.spec.tasks) if run.gangs else (number,)
         news = False
--- a/gingerspar/coordination/books/pool.py
+++ b/gingerspar/coordination/books/pool.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from gingerspar.coordination.books.ledger import Machine, MachineState, fits
+from gingerspar.coordination.books.ledger import Machine, MachineState, fits, run_time
 from gingerspar.coordination.books.needs import Need, Needs
 from gingerspar.protocol.messages import JobSpec, MachineType
 
@@ -168,12 +168,19 @@
         ]
         self.looked_at += len(usable)
 
-        def until(machine: Machine) -> tuple[bool, timedelta, str]:
-            outlook = machine.look_ahead()
-            ends = max(outlook.last_end or now, now + outlook.longest_ahead)
-            return not fits(spec, *machine.unused()), ends, machine.name
-
-        return sorted(usable, key=until)[:1]
+        def until(machine: Machine) -> tuple[timedelta, str]:
+            """When enough will have ended there, by the estimates."""
+            when = now
+            cpus, gpus, memory = machine.unused()
+            ends = [((each.running_since or now) + run_time(each.spec), each.spec) for each in machine.live.values()]
+            for end, ended in sorted(ends, key=lambda each: each[0]):
+                if fits(spec, cpus, gpus, memory):
+                    break
+                when = max(when, end)
+                cpus, gpus, memory = cpus + ended.cpus, gpus + ended.gpus, memory + ended.memory_gb
+            return when, machine.name
+
+        return [min(usable, key=until)] if usable else []
 
     def ready(self) -> list[tuple[Offer, MachineType, int]]:
         """How many ready machines there are of each type, zone and kind."""
--- a/tests/test_begin.py
+++ b/tests/test_begin.py
@@ -118,3 +118,28 @@
     alone = JobSpec("wk-000100", "d", "red", Shape.GANG, Priority.HIGH, 1, 1.0, 1.0)
     largest.add(alone)
     assert largest.among(alone)
+
+
+def test_a_finish_that_no_record_shows_yet_is_a_beginning() -> None:
+    """flood-and-crash-kerlann: results queued behind a flood, and to the next holder jobs had not begun that had."""
+    rush = Rush()
+    job = rush.come("bulk", Shape.ARRAY, Priority.LOW, 50, 1.0, 20.0)
+    run = rush.dispatcher.runs[job]
+    assert not run.begun
+    rush.dispatcher.book.done(run, 0)
+    assert run.begun
+    assert not rush.dispatcher.book.late_to_begin(run, timedelta(seconds=200))
+
+
+def test_the_place_that_comes_free_first_is_kept() -> None:
+    """A machine on which one short task ends goes before one on which all long ones have to."""
+    rush = Rush()
+    pool, now = rush.dispatcher.pool, timedelta(seconds=1)
+    long = rush.come("long", Shape.ARRAY, Priority.NORMAL, 4 * MACHINES - 1, 4.0, 500.0)
+    rush.second()
+    short = rush.come("short", Shape.ARRAY, Priority.NORMAL, 1, 4.0, 10.0)
+    rush.second()
+    (placement,) = rush.dispatcher.runs[short].live
+    spec = rush.dispatcher.runs[long].spec
+    assert pool.emptied(spec, (), now) == [placement.machine]
+    assert pool.emptied(spec, (placement.machine,), now) != [placement.machine]
