--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -20,7 +20,7 @@
 from gingerspar.coordination.machines.cloud import Cloud, CloudTrouble, NoCapacity
 from gingerspar.coordination.membership.reach import Prober, Reach
 from gingerspar.coordination.membership.session import Session
-from gingerspar.coordination.membership.term import BEAT_FRESH, PeerNews
+from gingerspar.coordination.membership.term import PeerNews, shows_itself
 from gingerspar.coordination.membership.visits import Visits
 from gingerspar.protocol import messages, names, peers
 from gingerspar.protocol.messages import MachineType, Malformed, Report, Steer
@@ -246,9 +246,7 @@
         term = self._view.term
         if term is None or term[0].holder != holder or self._view.nodes.get(holder) != term[0].session:
             return False
-        beat = self._view.beats.get(holder)
-        shown = beat is not None and self._clock.now() - beat <= BEAT_FRESH
-        return shown or self._visits.came(term[0].term) == 0
+        return shows_itself(self._view.beats.get(holder), self._clock.now()) or self._visits.came(term[0].term) == 0
 
     def _known_holder(self) -> str | None:
         """The newest holder that the view or a peer tells of."""
--- a/gingerspar/coordination/holder/command.py
+++ b/gingerspar/coordination/holder/command.py
@@ -359,7 +359,10 @@
             await asyncio.sleep(TELL_AFTER.total_seconds())
 
     async def _tell_one(self, machine: Machine) -> None:
-        client = Client(machine.address, connect_timeout=TELL_PATIENCE)
+        try:
+            client = Client(machine.address, connect_timeout=TELL_PATIENCE)
+        except ValueError:
+            return  # that is no address; the others are told all the same
         try:
             async with asyncio.timeout(2 * TELL_PATIENCE.total_seconds()):
                 _, body = await client.request("GET", names.PATH_STATUS)
--- a/gingerspar/coordination/membership/term.py
+++ b/gingerspar/coordination/membership/term.py
@@ -101,6 +101,11 @@
 SETTLING_IN = timedelta(seconds=4)  # a new holder gets this long before it is judged
 
 
+def shows_itself(beat: timedelta | None, now: timedelta) -> bool:
+    """Whether a holder's last sign of life in the state service is fresh."""
+    return beat is not None and now - beat <= BEAT_FRESH
+
+
 def reason_to_raise(k: Knowledge) -> str | None:
     """Why this node should take the term now, if it should."""
     if k.holder_is_this_process or not k.session_open or k.state_age > FRESH:
@@ -130,8 +135,7 @@
         # New machines' first reports come here in any case.
         # Nor do they while it shows itself in the state service: they may be on their way to it from an older
         # holder, told of its token (bench/days/workers-alone: a term of 4 s).
-        shown = k.beat is not None and k.now - k.beat <= BEAT_FRESH
-        if k.deserters >= k.deserters_needed and not k.link_up and not shown:
+        if k.deserters >= k.deserters_needed and not k.link_up and not shows_itself(k.beat, k.now):
             return _in_turn(k, "the holder is silent and workers come here", k.now - silence + SILENT)
         # It may have lost the state service as well and keep its workers: then nobody comes here.
         last = max(k.now - silence, k.term_seen, k.beat or k.started)
--- a/gingerspar/coordination/membership/visits.py
+++ b/gingerspar/coordination/membership/visits.py
@@ -34,13 +34,18 @@
             self._newest.popitem(last=False)
         known = self._visits.pop(machine, None)
         if known is not None:
-            self._tokens.subtract((known[1],))
+            self._forget(known[1])
         self._visits[machine] = (now, token, address)
         self.last = now
         self._tokens[token] += 1
         if machine in self._answered:
             self._answered[machine] = token
 
+    def _forget(self, token: int) -> None:
+        self._tokens[token] -= 1
+        if not self._tokens[token]:
+            del self._tokens[token]
+
     def answers(self, machine: str, order: tuple[int, int]) -> None:
         """A worker that has come here has answered a question, with a report of this session and number.
 
@@ -64,9 +69,7 @@
                 break
             del self._visits[machine]
             self._answered.pop(machine, None)
-            self._tokens[token] -= 1
-            if not self._tokens[token]:
-                del self._tokens[token]
+            self._forget(token)
         return len(self._visits)
 
     def answering(self, now: timedelta) -> int:
--- a/gingerspar/coordination/placing/placer.py
+++ b/gingerspar/coordination/placing/placer.py
@@ -324,6 +324,7 @@
             if left <= 0 or not run.open:
                 break
         if late and run.places:
+            book.unbook(run)  # wherever it found its place: else what it kept would be kept until it is over
             book.backlog.reorder(run, book.order(run, now))
         book.backlog.refile(run, now, fresh=late and bool(run.places))
 
--- a/tests/test_begin.py
+++ b/tests/test_begin.py
@@ -155,3 +155,29 @@
     assert rush.dispatcher.book.late_to_begin(run, BEGIN_BY)
     services.held = 25.0
     assert not rush.dispatcher.book.late_to_begin(run, BEGIN_BY)
+
+
+def test_what_it_kept_is_given_up_once_it_has_begun() -> None:
+    """Room that comes free elsewhere first: the place that was kept for the first task used to stay kept."""
+    rush = Rush()
+    rush.play(60)
+    job = rush.come("bulk", Shape.ARRAY, Priority.LOW, 50, 16.0, 20.0)
+    run = rush.dispatcher.runs[job]
+    kept = 0
+    for _ in range(200):
+        rush.play(1)
+        kept = max(kept, len(run.booked))
+        if run.begun:
+            break
+    assert (run.begun, kept) == (True, 1)
+    assert not run.booked
+    # The same where it finds its place among machines that gained room, not where it kept one.
+    other = rush.come("bulk", Shape.ARRAY, Priority.LOW, 50, 16.0, 20.0)
+    late, book, now = rush.dispatcher.runs[other], rush.dispatcher.book, timedelta(seconds=rush.now + 200)
+    first, second = list(rush.dispatcher.machines.values())[:2]
+    book.book(late, {first: 1}, now)
+    for placement in list(second.live.values()):
+        book.exited(placement, now)
+    rush.dispatcher._placer._place_tasks(late, [second], 1, now, late=True)
+    assert [placement.machine for placement in late.live] == [second]
+    assert not late.booked
