A lease counts as over only by a read sent after it; stops of cancelled jobs go with every answer

Cause: a leader cut off together with one zone goes on for L = cancel_s - lease_s - 1 s without the state service. It took the machines of the other zone for lost when they had been silent for a lease, though its successor had them, and started their tasks again on machines that still reported to it. Ruled out: late reports of machines told directly (a hole of its own, mended here too: traces/told_directly); lists. Change: silence is measured up to the last good read of the state service, which shows this term still. The answer that tells a worker of a new token stops what it lists of jobs that are over; such stops go ahead of all other commands; a machine that has reported is not taken for lost by the cloud's list; L has no floor of 1 s any more.

--- a/bench/holder_load.py
+++ b/bench/holder_load.py
@@ -222,7 +222,7 @@
         began = time.process_time()
         if self.now >= self._ticked + TICK:
             self._ticked = self.now
-            self.holder.tick(self.now)
+            self.holder.tick(self.now, self.now)
         if self.holder.dirty:
             self.holder.place(self.now)
         self._spent(began)
--- a/gingerspar/coordination/holder/command.py
+++ b/gingerspar/coordination/holder/command.py
@@ -154,6 +154,7 @@
         dispatcher.on_wake(self._wake_machine)
         dispatcher.finish_wanted = self._work.set
         dispatcher.final_spec = view.final_spec
+        dispatcher.is_over = view.final.__contains__
         view.on_job.append(self._record_changed)
 
     # -- life -----------------------------------------------------------------
@@ -265,7 +266,9 @@
             del self._holds[machine.name]
         if hold.answer.done():
             return
-        if (machine.session, machine.seq) != (report.session, report.seq):
+        settled = machine.state in (MachineState.READY, MachineState.LEAVING)
+        if not settled or (machine.session, machine.seq) != (report.session, report.seq):
+            # Newer news have come, or what this report showed does not hold any more: no lease is renewed for it.
             hold.answer.set_result(Answer(503, b'{"error":"late"}'))
             return
         try:
@@ -295,7 +298,7 @@
             try:
                 if now - ticked >= TICK:
                     ticked = now
-                    self.dispatcher.tick(now)
+                    self.dispatcher.tick(now, self._view.read_sent)
                 if self.dispatcher.book.types:
                     self.dispatcher.place(now)
                 self._stop_directly()
@@ -367,6 +370,7 @@
             async with asyncio.timeout(2 * TELL_PATIENCE.total_seconds()):
                 _, body = await client.request("GET", names.PATH_STATUS)
                 report = messages.decode(Report, body)
+                self.dispatcher.told_directly(machine, report)
                 orders = messages.encode(DirectCommands(self.dispatcher.term, report.session, []))
                 await client.request("POST", names.PATH_COMMANDS, orders, permit=self._authority)
         except (Unanswered, Malformed, TimeoutError) as error:
@@ -509,11 +513,13 @@
                         )
                     elif entry.status is not MachineStatus.FAILED:
                         continue
-                failed = entry.status is MachineStatus.FAILED
                 if machine is not None and not machine.address:
                     machine.address = entry.address
-                over = (MachineState.LOST, MachineState.RETURNING, MachineState.GONE)
-                if machine is not None and failed and machine.state not in over:
+                # Lists are late and go back in time. What has reported in this term is judged by its lease, which
+                # is over long before the cloud lists a machine as failed (30 s).
+                unheard = (MachineState.BOOTING, MachineState.UNSETTLED)
+                failed = entry.status is MachineStatus.FAILED
+                if machine is not None and failed and machine.state in unheard and machine.answered is None:
                     self.dispatcher.lost(machine, "the cloud lists it as failed", now)
             self._work.set()
             await asyncio.sleep(pause)
--- a/gingerspar/coordination/holder/dispatcher.py
+++ b/gingerspar/coordination/holder/dispatcher.py
@@ -38,7 +38,7 @@
 SICK_TASKS = 2  # ... or so many tasks of one job that runs well elsewhere
 WELL_FOR = timedelta(seconds=5)
 SAME_FAULT = 3  # machines on which a job fails that ran well on none: then the job is to blame
-MOST_COMMANDS = 300  # in one answer, which has to stay below 64 KiB
+MOST_COMMANDS = 800  # in one answer, which has to stay below 64 KiB; the longest takes 75 bytes or so
 
 
 class Stale(Exception):
@@ -81,6 +81,7 @@
         self.dirty = True
         self._wake: Callable[[Machine], None] = lambda machine: None
         self.final_spec: Callable[[str], JobSpec | None] = lambda job: None
+        self.is_over: Callable[[str], bool] = lambda job: False  # done or cancelled, by the records
         self.finish_wanted: Callable[[], None] = lambda: None
         self.book.wake = self._wanted_on
         for name, type_name, zone, spot in roster:
@@ -211,6 +212,18 @@
             machine.idle_since = now
         return machine
 
+    def told_directly(self, machine: Machine, report: Report) -> None:
+        """A machine that has not come by itself has shown this report, and is now told of the token directly.
+
+        From then on its reports show the token. One that arrives late must not pass for the first word of the
+        machine's next life: of a session that is over once the machine was taken for lost, or of a worker that
+        has ended and numbers its reports anew (traces/told_directly). The report that is under way now may be
+        one or two numbers older.
+        """
+        shown = (report.session, max(report.seq - 2, 0))
+        if machine.state is MachineState.UNSETTLED and shown > (machine.session, machine.seq):
+            machine.session, machine.seq = shown
+
     def _heard(self, machine: Machine, report: Report, now: timedelta) -> bool | None:
         """Whether the worker has heard the answer to its report before; None: there was none to hear."""
         if machine.answered is None:
@@ -427,16 +440,24 @@
         return found
 
     def commands(self, machine: Machine, report: Report, now: timedelta) -> list[Command]:
-        """What the answer to this report carries; `run` goes nowhere else."""
-        if machine.state not in (MachineState.READY, MachineState.LEAVING) or report.token < self.term:
+        """What the answer to this report carries; `run` goes nowhere else.
+
+        Any answer with the token renews the worker's lease, so each carries the stops of all that the report
+        lists of jobs that are over, ahead of everything else (docs/design.md, "Cancelled work and leases").
+        """
+        if report.token < self.term:
+            return self._stops_of_what_is_over(report)
+        if machine.state not in (MachineState.READY, MachineState.LEAVING):
             return []
-        found: list[Command] = []
+        live = list(machine.live.values())
+        found = [self._stop(placement) for placement in live if self.runs[placement.job].over and placement.stop_due]
+        del found[MOST_COMMANDS:]
         for (job, number, attempt), cause in machine.exited.items():
             run = self.runs.get(job)
             keep = cause is Cause.DONE and run is not None and not run.over and number in run.unsaved
-            if not keep:
+            if not keep and len(found) < MOST_COMMANDS:
                 found.append(Command(Verb.FORGET, f"{job}/{number}", attempt))
-        for placement in list(machine.live.values()):
+        for placement in live:
             if len(found) >= MOST_COMMANDS:
                 break
             if placement.state is TaskState.PLANNED:
@@ -445,11 +466,28 @@
                 machine.tasks_seen = None  # the next report tells whether it arrived
                 log.debug("run %s attempt %d on %s", placement.name, placement.attempt, machine.name)
                 found.append(Command(Verb.RUN, placement.name, placement.attempt))
-            elif placement.stop is not None:
-                if placement.state is TaskState.SENT and placement.answered >= (report.session, report.seq):
-                    continue
-                found.append(Command(Verb.STOP, placement.name, placement.attempt, placement.stop.total_seconds()))
-                placement.stop_sent = True
+            elif placement.stop_due and not self.runs[placement.job].over:
+                found.append(self._stop(placement))
+        return found
+
+    @staticmethod
+    def _stop(placement: Placement) -> Command:
+        assert placement.stop is not None
+        placement.stop_sent = True
+        return Command(Verb.STOP, placement.name, placement.attempt, placement.stop.total_seconds())
+
+    def _stops_of_what_is_over(self, report: Report) -> list[Command]:
+        """For a worker that is told of the token: what it lists may yet change, but not that its job is over."""
+        found: list[Command] = []
+        for task in report.listed():
+            if task.status is TaskStatus.EXITED or len(found) >= MOST_COMMANDS:
+                continue
+            try:
+                job, _ = task.where()
+            except ValueError:
+                continue
+            if self.is_over(job):
+                found.append(Command(Verb.STOP, task.task, task.attempt, NO_GRACE.total_seconds()))
         return found
 
     # -- time -----------------------------------------------------------------
@@ -460,18 +498,25 @@
         if not self._placer.place(now):
             self.dirty = True
 
-    def tick(self, now: timedelta) -> None:
-        """Leases that ran out, notices that come due, gangs that came back incomplete."""
+    def tick(self, now: timedelta, read: timedelta) -> None:
+        """Leases that ran out, notices that come due, gangs that came back incomplete.
+
+        ``read``: when the last good read of the state service was sent. That a machine has been silent for its
+        lease proves that the lease is over only if nobody else has renewed it. A holder without the state service
+        goes on for L while a successor may have all that it has lost: cut off together with one zone, it took the
+        machines of the other for lost and started their tasks again, while they ran on under its successor.
+        A read sent after the lease's end that shows this term still shows that there was no successor before.
+        """
         for machine in self.pool.among(MachineState.READY, MachineState.LEAVING):
-            if machine.answered is not None and now - machine.answered > self._lease:
+            if machine.answered is not None and read - machine.answered > self._lease:
                 self.lost(machine, "silent for its lease", now)
         unsettled = self.pool.among(MachineState.UNSETTLED)
         for machine in unsettled:
             heard = machine.answered + self._lease if machine.answered is not None else self._settled_by
-            if now > max(heard, self._settled_by):
+            if read > max(heard, self._settled_by):
                 self.lost(machine, "silent since the term began", now)
         for machine in self.pool.among(MachineState.BOOTING):
-            if machine.answered is not None and now - machine.answered > self._lease:
+            if machine.answered is not None and read - machine.answered > self._lease:
                 # Deaf, or never there: late copies of what a machine said that was given back.
                 self.lost(machine, "it was answered and doesn't show it", now)
         if not unsettled:
--- a/gingerspar/coordination/membership/term.py
+++ b/gingerspar/coordination/membership/term.py
@@ -28,10 +28,13 @@
 
     A cancellation committed just after that read must take effect within
     ``cancel``: the worker's last answered report is at most L later, and its lease
-    then ends within ``lease`` by its own clock.
+    then ends within ``lease`` by its own clock. A second is kept for what clocks and
+    timers lose, less where a second is much of what there is; nothing is left where
+    ``cancel`` is hardly longer than ``lease`` (``check-config`` says so).
     """
-    margin = timedelta(seconds=1) + workers.cancel * (4 * DRIFT)
-    return max(workers.cancel - workers.lease - margin, timedelta(seconds=1))
+    spare = workers.cancel - workers.lease
+    margin = min(timedelta(seconds=1), spare / 4) + workers.cancel * (4 * DRIFT)
+    return max(spare - margin, timedelta(0))
 
 
 def settle_span(workers: WorkerFacts) -> timedelta:
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -48,7 +48,7 @@
     dispatcher = Dispatcher(1, timedelta(0), workers, [])
     machine = dispatcher.book.add_machine("n-1", "big", "a", False, timedelta(0), MachineState.LOST)
     machine.move(MachineState.RETURNING)
-    view: Any = SimpleNamespace(on_job=[], roster={}, age=lambda: age[0], final_spec=lambda job: None)
+    view: Any = SimpleNamespace(on_job=[], final={}, roster={}, age=lambda: age[0], final_spec=lambda job: None)
     rest: Any = SimpleNamespace()
     facts: Any = SimpleNamespace()
     post = CommandPost(
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -77,7 +77,7 @@
 def _post() -> CommandPost:
     dispatcher = Dispatcher(1, timedelta(0), WorkerFacts(report_s=2.5, lease_s=18, cancel_s=43), [])
     dispatcher.set_types([MachineType("big", 16, 64, zones=("a",), price=1.0, boot_s=20)])
-    view: Any = SimpleNamespace(on_job=[], roster={}, age=lambda: timedelta(0), final_spec=lambda job: None)
+    view: Any = SimpleNamespace(on_job=[], final={}, roster={}, age=lambda: timedelta(0), final_spec=lambda job: None)
     rest: Any = SimpleNamespace()
     return CommandPost(
         "n1", dispatcher, rest, view, rest, rest, Clock(), rest, OperatorSettings(),
@@ -94,7 +94,7 @@
     answer = post.report(report)
     if isinstance(answer, Answer):
         return answer.status
-    post.dispatcher.tick(timedelta(seconds=5))
+    post.dispatcher.tick(timedelta(seconds=5), timedelta(seconds=5))
     for hold in list(post._holds.values()):
         post._release(hold)  # held back, and let go when its time is over
     return (await answer).status
@@ -116,7 +116,7 @@
         assert status in (200, 400, 421, 503)
         if status == 400:
             assert set(post.dispatcher.machines) == known
-        post.dispatcher.tick(timedelta(seconds=1))
+        post.dispatcher.tick(timedelta(seconds=1), timedelta(seconds=1))
         post.dispatcher.place(timedelta(seconds=1))
 
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -206,7 +206,7 @@
         fleet.now = NOW + timedelta(seconds=second)
         for machine in others:
             fleet.answer(machine, [TaskReport(p.name, p.attempt, TaskStatus.RUNNING) for p in machine.live.values()])
-        fleet.dispatcher.tick(fleet.now)
+        fleet.dispatcher.tick(fleet.now, fleet.now)
     assert fleet.dispatcher.pool.among(MachineState.LOST) == silent
     # One look at each machine finds all the room there is; nothing is sent before the leases are over.
     assert fleet.place() <= 2 * MACHINES
--- a/tests/tracing.py
+++ b/tests/tracing.py
@@ -39,6 +39,7 @@
 
     def __init__(self) -> None:
         self.now = timedelta(0)
+        self.read: timedelta | None = None  # when the last good read was sent; None: just now
         self.workers = WorkerFacts(report_s=2.5, lease_s=18, cancel_s=43, gang_wait_s=35, gang_peer_s=4)
         self.teams = [TeamFacts("red"), TeamFacts("blue")]
         self.types = [MachineType("big", 16, 64, cache_gb=60, zones=("a", "b"), price=1.0, spot_price=0.3, boot_s=20)]
@@ -48,6 +49,7 @@
         self.answer: list[Command] | None = None
         self.refused = ""
         self.specs: dict[str, JobSpec] = {}
+        self.over: set[str] = set()
 
     def play(self, line: str) -> int:
         """Carries one line out; 1 if it was an expectation."""
@@ -57,7 +59,7 @@
             return 1
         if words[0] == "at":
             self.now = _span(words[1])
-            self.dispatcher.tick(self.now)
+            self.dispatcher.tick(self.now, self.now if self.read is None else self.read)
             words = words[2:]
             if not words:
                 self.dispatcher.place(self.now)
@@ -104,6 +106,7 @@
         )
         self.dispatcher.set_types(self.types)
         self.dispatcher.final_spec = self.specs.get
+        self.dispatcher.is_over = self.over.__contains__
 
     def _job(self, words: list[str]) -> None:
         """A record as the state service has it: ``job wk-1 array tasks=2 attempt=1``."""
@@ -143,8 +146,16 @@
         self.dispatcher.set_record(spec.job, record, finished, self.now)
         self.dispatcher.place(self.now)
 
+    def _no_state(self, words: list[str]) -> None:
+        """From now on the state service can't be read."""
+        self.read = self.now
+
+    def _state_back(self, words: list[str]) -> None:
+        self.read = None
+
     def _over(self, words: list[str]) -> None:
         """The record says done or cancelled."""
+        self.over.add(words[0])
         self.dispatcher.set_record(words[0], None, None, self.now)
 
     def _machine(self, words: list[str]) -> None:
@@ -162,15 +173,33 @@
             self.dispatcher.machines[words[0]].enlist()
         self.dispatcher.place(self.now)
 
+    def _told(self, words: list[str]) -> None:
+        """Asked for its status, the machine has shown this report, and is told of the token directly."""
+        self.dispatcher.told_directly(self.dispatcher.machines[words[0]], self._read_report(words))
+
     def _report(self, words: list[str]) -> None:
         """``report m1 seq=3 token=1 tasks=wk-1/0@1:running,wk-2/0@1:ended:done``"""
+        report = self._read_report(words)
+        self.refused, self.answer = "", None
+        try:
+            machine = self.dispatcher.report(report, self.now)
+        except Stale:
+            self.refused = "stale"
+            return
+        except Outdated:
+            self.refused = "outdated"
+            return
+        self.dispatcher.place(self.now)
+        self.answer = self.dispatcher.commands(machine, report, self.now)
+
+    def _read_report(self, words: list[str]) -> Report:
         given = _fields(words[1:])
         tasks = []
         for text in filter(None, given.get("tasks", "").split(",")):
             name, _, rest = text.partition("@")
             attempt, status, *cause = rest.split(":")
             tasks.append(TaskReport(name, int(attempt), TaskStatus(status), Cause(cause[0]) if cause else None))
-        report = Report(
+        return Report(
             words[0],
             "10.0.0.9:1",
             given.get("type", "big"),
@@ -182,17 +211,6 @@
             float(given["notice"]) if "notice" in given else None,
             msgspec.Raw(encode(tasks)),
         )
-        self.refused, self.answer = "", None
-        try:
-            machine = self.dispatcher.report(report, self.now)
-        except Stale:
-            self.refused = "stale"
-            return
-        except Outdated:
-            self.refused = "outdated"
-            return
-        self.dispatcher.place(self.now)
-        self.answer = self.dispatcher.commands(machine, report, self.now)
 
     def _returned(self, words: list[str]) -> None:
         machine = self.dispatcher.machines[words[0]]
