--- a/gingerspar/cli.py
+++ b/gingerspar/cli.py
@@ -67,6 +67,11 @@
     settings, own = _load(config, operator)
     logging.basicConfig(level=_log_level(), format="%(levelname)s %(name)s %(message)s", stream=sys.stderr)
     from gingerspar.controller import Controller
+    from gingerspar.coordination.membership.term import too_short_to_cancel
+
+    too_short = too_short_to_cancel(settings.facts)
+    if too_short is not None:
+        logging.getLogger(__name__).error("%s", too_short)  # the rest is served all the same
 
     async def main() -> None:
         await Controller(settings, own).run()
@@ -91,6 +96,11 @@
 def check_config(config: Path, operator: Path | None) -> None:
     """Check settings files and say what is wrong with them."""
     settings, own = _load(config, operator)
+    from gingerspar.coordination.membership.term import too_short_to_cancel
+
+    too_short = too_short_to_cancel(settings.facts)
+    if too_short is not None:
+        _refuse(config, BadSettings(too_short))
     click.echo(f"{settings.node}: settings are fine")
     for name in own.__struct_fields__:
         click.echo(f"  {name}: {getattr(own, name)}")
--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -72,11 +72,11 @@
         self._claims = Claims(self._node, self._client, self._view, self._session, self._clock, teams, operator, turns)
         self._door = FrontDoor(self._client, self._view, self._claims, self._clock, teams)
         self._cloud = Cloud(settings.services.cloud, self._clock, facts.cloud.rps)
-        self._link = PeerLink({peer.node: peer.address for peer in settings.peers}, self._hear)
+        self._link = PeerLink({peer.node: peer.address for peer in settings.peers}, self._hear, self._clock)
         self._relays = Relays(self._node, self._link, self._serve_user)
         self._began = self._clock.now()
         self._strain = Strain(self._clock)
-        self._server = Server(self._handle, facts.machine_limits.fd_limit)
+        self._server = Server(self._handle, facts.machine_limits.fd_limit, self._clock)
         self._types: list[MachineType] = []
         self._news: dict[str, PeerNews] = {}
         self._visits = Visits()
@@ -105,6 +105,7 @@
         self._view.on_term.append(self._term_changed)
         self._claims.reachable = self._dispatcher_reachable
         self._claims.hand_over = self._hand_over
+        self._door.tell_cancelled = self._tell_cancelled
         self._door.types = lambda: {kind.name: kind for kind in self._types}
         self._door.running = self._running
         self._door.peer_has_state = self._peer_has_state
@@ -422,6 +423,15 @@
         message = peers.Handover(self._node, term[0].term, records.job_key(job), version, records.pack(record))
         self._link.send(term[0].holder, peers.pack(message))
 
+    def _tell_cancelled(self, job: str, version: int, record: JobRecord) -> None:
+        """To all peers: the one that commands may be without the state service, and another than this node knows of.
+
+        It stops the tasks at once. Where it doesn't hear of it, they end with its authority and the workers' leases.
+        """
+        term = self._view.term[0].term if self._view.term is not None else 0
+        message = peers.Handover(self._node, term, records.job_key(job), version, records.pack(record))
+        self._link.broadcast(peers.pack(message))
+
     def _tell_finished(self, node: str, jobs: dict[str, list[int]]) -> None:
         if node == self._node:
             self._claims.finished(jobs)
--- a/gingerspar/coordination/jobs/frontdoor.py
+++ b/gingerspar/coordination/jobs/frontdoor.py
@@ -116,6 +116,7 @@
         self.running: Callable[[str], int] = lambda job: 0
         self.peer_has_state: Callable[[], bool] = lambda: False
         self.hears_peers: Callable[[], bool] = lambda: True  # or has none
+        self.tell_cancelled: Callable[[str, int, JobRecord], None] = lambda job, version, record: None
 
     # -- health ---------------------------------------------------------------
 
@@ -323,7 +324,8 @@
                 if self._view.status_of(job) is None:
                     return problem(404, "no such job")
                 continue
-            put = Put(records.job_key(job), records.pack(cancelled(entry)))
+            record = cancelled(entry)
+            put = Put(records.job_key(job), records.pack(record))
             try:
                 version = await self._client.commit(
                     Transaction([KeyVersion(put.key, entry.version)], [put]), Urgency.USER
@@ -334,6 +336,7 @@
             except (Unavailable, LeaseGone):
                 break
             self._view.apply(put.key, bytes(put.value), version)
+            self.tell_cancelled(job, version, record)
         return problem(503, "not cancelled yet", 1)
 
     def _state(self, status: int, job: str, known: JobStatus) -> Answer:
--- a/gingerspar/coordination/membership/term.py
+++ b/gingerspar/coordination/membership/term.py
@@ -9,7 +9,8 @@
 from enum import Enum
 
 from gingerspar.coordination.membership.reach import ReachState
-from gingerspar.protocol.settings import WorkerFacts
+from gingerspar.protocol.settings import Facts, WorkerFacts
+from gingerspar.storage.view import read_pace
 
 
 class TermState(Enum):
@@ -37,6 +38,25 @@
     return max(spare - margin, timedelta(0))
 
 
+READS_WITHIN = 2  # good reads that a holder should be able to send within L, as one may be late
+
+
+def too_short_to_cancel(facts: Facts) -> str | None:
+    """What is wrong with ``cancel_s`` where a holder can't read the state service often enough for L; else None.
+
+    Then machines are seldom answered in time and lose their leases, or have to be: no answer
+    could be given without the risk that what it keeps alive has just been cancelled.
+    """
+    workers, least = facts.workers, read_pace(facts.state.rps, facts.size) * READS_WITHIN
+    if authority_span(workers) >= least:
+        return None
+    return (
+        f"facts.workers.cancel_s: {workers.cancel_s:g} is too close to lease_s, {workers.lease_s:g}: "
+        f"with this state service the holder reads it every {least.total_seconds() / READS_WITHIN:.2g} s, "
+        "and answers to workers can't be kept fresh enough"
+    )
+
+
 def settle_span(workers: WorkerFacts) -> timedelta:
     """After a term change: until no machine can still run what an older holder started."""
     total = authority_span(workers) + workers.lease
--- a/gingerspar/protocol/peers.py
+++ b/gingerspar/protocol/peers.py
@@ -33,7 +33,7 @@
 
 
 class Handover(msgspec.Struct, tag="handover"):
-    """A committed claim, handed to the dispatcher ahead of its watched view."""
+    """A committed claim or cancellation, handed to a peer ahead of its watched view."""
 
     node: str
     term: int
--- a/gingerspar/storage/view.py
+++ b/gingerspar/storage/view.py
@@ -38,6 +38,15 @@
 ASK_AGAIN = timedelta(seconds=0.3)  # a read that takes longer is sent once more
 
 
+STEADY_SHARE = 0.30  # of a node's part of the request limit goes into reads
+IDLE_SHARE = 0.15  # the same, where nothing is commanded: what peers write is seldom waited for there
+
+
+def read_pace(rps: float, nodes: int, share: float = STEADY_SHARE) -> timedelta:
+    """From one read to the next, of a node that commands; ``rps`` is the limit of all ``nodes`` together."""
+    return timedelta(seconds=1 / max(rps / max(nodes, 1) * share, 0.5))
+
+
 class Phase(Enum):
     LOADING = "loading"
     FOLLOWING = "following"
@@ -54,18 +63,13 @@
 class WatchedView:
     """Keys under one prefix, decoded, with the versions that writes are conditional on."""
 
-    STEADY_SHARE = 0.30  # of this node's part of the request limit
-    IDLE_SHARE = 0.15  # the same, where nothing is commanded: what peers write is seldom waited for there
     EAGER_SHARE = 0.50
 
     def __init__(self, client: StateClient, clock: Clock, *, rps: float, nodes: int) -> None:
         self._client = client
         self._clock = clock
         part = rps / max(nodes, 1)
-        self._paces = {
-            commands: timedelta(seconds=1 / max(part * share, 0.5))
-            for commands, share in ((True, self.STEADY_SHARE), (False, self.IDLE_SHARE))
-        }
+        self._paces = {True: read_pace(rps, nodes), False: read_pace(rps, nodes, IDLE_SHARE)}
         self._steady = self._paces[False]
         self._eager = timedelta(seconds=1 / max(part * self.EAGER_SHARE, 1.0))
         self.phase = Phase.LOADING
--- a/gingerspar/transport/peerlink.py
+++ b/gingerspar/transport/peerlink.py
@@ -57,11 +57,11 @@
 class _Outgoing:
     """The connection on which this node speaks to one peer."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, clock: Clock) -> None:
         host, port = address.rsplit(":", 1)
         self._target = (host, int(port))
         self._stream: iostream.IOStream | None = None
-        self._clock = Clock()
+        self._clock = clock
         self._since = self._clock.now()
         self._unsent = 0
 
@@ -115,8 +115,8 @@
 class PeerLink:
     """Speaks to and hears from the other controllers."""
 
-    def __init__(self, peers: Mapping[str, str], receive: Receiver) -> None:
-        self._outgoing = {name: _Outgoing(address) for name, address in peers.items()}
+    def __init__(self, peers: Mapping[str, str], receive: Receiver, clock: Clock) -> None:
+        self._outgoing = {name: _Outgoing(address, clock) for name, address in peers.items()}
         self._listener = _Listener(receive)
 
     def stop(self) -> None:
--- a/tests/standins/cloud.py
+++ b/tests/standins/cloud.py
@@ -30,6 +30,7 @@
         self.rented: dict[str, list[str]] = {}
         self.count = 0
         self.broken: list[str] = []
+        self.gone: dict[str, float] = {}  # by job: when the last of its tasks that was on a machine ended
         self.server = Server(self.handle)
 
     async def handle(self, request: Request) -> Answer:
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -11,6 +11,7 @@
 from gingerspar.controller import Controller
 from gingerspar.protocol.settings import OperatorSettings, parse_settings
 from gingerspar.transport.client import Client, Unanswered
+from gingerspar.transport.clock import Clock
 from tests.standins.cloud import Cloud
 from tests.standins.state import StateService
 from tests.standins.worker import LEASE, free_port
@@ -21,8 +22,9 @@
 class Cluster:
     """Three controllers, a state service and a cloud on loopback."""
 
-    def __init__(self, run_seconds: float = 0.5, cancel_s: float = 12.0) -> None:
+    def __init__(self, run_seconds: float = 0.5, cancel_s: float = 12.0, *, clock: Clock | None = None) -> None:
         self.cancel_s = cancel_s
+        self.clock = clock
         self.apart: set[str] = set()  # nodes that hear no other controller, and that none hears
         ports = {name: (free_port(), free_port()) for name in NAMES}
         self.http = {name: f"127.0.0.1:{http}" for name, (http, _) in ports.items()}
@@ -75,7 +77,7 @@
 
     def start_node(self, name: str) -> None:
         operator = OperatorSettings(session_ttl_s=2.0, idle_return_s=1.0)
-        controller = Controller(parse_settings(self.settings(name)), operator)
+        controller = Controller(parse_settings(self.settings(name)), operator, self.clock)
         link, up = controller._link, controller._link.up
         link.up = lambda peer: not {name, peer} & self.apart and up(peer)  # type: ignore[method-assign]
         for peer, outgoing in link._outgoing.items():
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -36,32 +36,48 @@
         self.node = self.nodes[0]
         self.changed = asyncio.Event()
         self.deaf = False  # its reports arrive, no answer and no command reaches it
+        self.unordered = False  # commands sent directly don't reach it
+        self.reaches = set(self.nodes)  # others are behind a cut
+        self.answered = 0.0  # when the last report that was answered had been sent
         self.address = f"127.0.0.1:{free_port()}"
         self.server = Server(self.handle)
         self.server.listen(int(self.address.rsplit(":", 1)[1]), "127.0.0.1")
-        self.loop = asyncio.ensure_future(self.live())
+        self.loops = [asyncio.ensure_future(self.live()), asyncio.ensure_future(self.keep_lease())]
 
     def stop(self) -> None:
-        self.loop.cancel()
+        for loop in self.loops:
+            loop.cancel()
         self.server.stop()
+        self.drop_tasks()
+
+    def drop_tasks(self) -> None:
+        for key in list(self.tasks):
+            self.end(key, "gone")
         self.tasks.clear()
 
     async def live(self) -> None:
         clock = asyncio.get_running_loop().time
-        answered = clock()
         await asyncio.sleep(0.2)
         while True:
             sent = clock()
             if await self.report(sent):
-                answered = sent
-            if clock() - answered > LEASE:
-                self.session += 1
-                self.tasks.clear()
-                answered = clock()
+                self.answered = sent
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.changed.wait(), self.cloud.report_seconds)
             self.changed.clear()
 
+    async def keep_lease(self) -> None:
+        """The lease runs out when it does, whatever the worker waits for."""
+        clock = asyncio.get_running_loop().time
+        self.answered = clock()
+        while True:
+            await asyncio.sleep(max(self.answered + LEASE - clock(), 0.001))
+            if clock() - self.answered >= LEASE:
+                self.session += 1
+                self.drop_tasks()
+                self.answered = clock()
+                self.changed.set()
+
     def describe(self) -> dict[str, Any]:
         """The next report."""
         self.seq += 1
@@ -73,7 +89,7 @@
 
     def handle(self, request: Request) -> Answer | asyncio.Future[Answer]:
         """What controllers ask it directly."""
-        if self.deaf:
+        if self.deaf or (self.unordered and request.path == "/commands"):
             return asyncio.get_running_loop().create_future()  # as if it had not arrived
         status = 200
         if request.path == "/commands":
@@ -97,6 +113,8 @@
         session = self.session
         client = Client(self.cloud.controllers[self.node])
         try:
+            if self.node not in self.reaches:
+                raise Unanswered("behind a cut that refuses connections")
             status, answer = await client.request(
                 "POST", "/hello", msgspec.json.encode(body), timeout=timedelta(seconds=3)
             )
@@ -138,4 +156,5 @@
         task = self.tasks.get(key)
         if task is not None and task["Status"] != "ended":
             task["Status"], task["Cause"] = "ended", cause
+            self.cloud.gone[key[0].partition("/")[0]] = asyncio.get_running_loop().time()
             self.changed.set()
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -12,9 +12,10 @@
     reason_to_raise,
     reason_to_resign,
     settle_span,
+    too_short_to_cancel,
 )
 from gingerspar.coordination.membership.visits import Visits
-from gingerspar.protocol.settings import WorkerFacts
+from gingerspar.protocol.settings import CloudFacts, Facts, StateFacts, WorkerFacts
 
 NOW = timedelta(seconds=100)
 
@@ -204,12 +205,26 @@
 
 def test_a_cancelled_task_dies_in_time_behind_any_cut() -> None:
     """Whatever was answered at the end of the authority ends with the worker's lease, before cancel_s."""
-    for lease, cancel in ((18, 43), (16, 36), (5, 12)):
+    for lease, cancel in ((18, 43), (16, 36), (5, 12), (18, 20), (18, 18.6), (4, 4.2)):
         workers = WorkerFacts(report_s=2, lease_s=lease, cancel_s=cancel)
         assert authority_span(workers) + s(lease * 1.001) < s(cancel)
         assert settle_span(workers) > authority_span(workers) + s(lease)
 
 
+def test_settings_that_leave_no_time_for_fresh_reads_are_named() -> None:
+    """With a floor of 1 s for L the bound did not hold where cancel_s is hardly longer than lease_s."""
+
+    def verdict(cancel: float, rps: float = 100, size: int = 3) -> str | None:
+        state = StateFacts(rps=rps, write_rps=25, value_kb=8, txn_ops=12)
+        workers = WorkerFacts(report_s=2, lease_s=18, cancel_s=cancel)
+        return too_short_to_cancel(Facts(workers, state, CloudFacts(rps=5), size))
+
+    assert verdict(43) is None
+    assert verdict(18.5) is None  # reads ten times a second
+    assert "facts.workers.cancel_s" in (verdict(18.2) or "")
+    assert "facts.workers.cancel_s" in (verdict(18.5, rps=30, size=7) or "")
+
+
 def test_a_holder_stops_only_when_a_peer_commands_in_its_place() -> None:
     """kerlann-fonts' rough day: a holder without state kept all workers for 22 s, away from its successor.
 
