--- a/tests/standins/cloud.py
+++ b/tests/standins/cloud.py
@@ -1,50 +1,78 @@
 """Stand-in of the cloud: rents machines, each of which is a worker stand-in."""
 
 import asyncio
+import contextlib
+import math
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import msgspec
 
+from gingerspar.transport.client import Client, Unanswered
 from gingerspar.transport.server import Answer, Request, Server
 from tests.standins.state import answer
-from tests.standins.worker import Worker
+from tests.standins.worker import CPUS, Worker
 
-CATALOG = {
-    "Builds": [
-        {
-            "Label": "small", "Cpus": 8, "Cards": 0, "MemoryGb": 32, "CacheGb": 20, "PullGbPerS": 10.0,
-            "Hourly": 1.0, "SpotPrice": 0.3, "StartupS": 1, "Halls": ["a"],
-        }
-    ]
-}  # fmt: skip
+GANG_WAIT = 10.0
+GANG_PEER = 1.0
+LISTED_FOR = 30.0  # seconds that a machine which has died is still listed as running
+ARRAY = {"Shape": "batch", "Cpus": 4.0, "Crew": "red", "Pieces": 1_000_000, "SamePlace": False, "GuessS": None}
+
+
+def catalog(zones: Sequence[str]) -> dict[str, Any]:
+    return {
+        "Builds": [
+            {
+                "Label": "small", "Cpus": CPUS, "Cards": 0, "MemoryGb": 32, "CacheGb": 20, "PullGbPerS": 10.0,
+                "Hourly": 1.0, "SpotPrice": 0.3, "StartupS": 1, "Halls": list(zones),
+            }
+        ]
+    }  # fmt: skip
 
 
 class Cloud:
     """Boots are short; nothing is ever refused. Keeps the rules' books."""
 
-    def __init__(self, controllers: dict[str, str], run_seconds: float, report_seconds: float) -> None:
+    def __init__(
+        self, controllers: dict[str, str], run_seconds: float, report_seconds: float, zones: Sequence[str] = ("a",)
+    ) -> None:
         self.controllers = controllers
         self.run_seconds = run_seconds
         self.report_seconds = report_seconds
+        self.zones = zones
         self.workers: dict[str, Worker] = {}
+        self.died: dict[str, tuple[Worker, float]] = {}  # and when
         self.rented: dict[str, list[str]] = {}
         self.count = 0
+        self.jobs: dict[str, dict[str, Any]] = {}  # as users have described them
+        self.limits: dict[str, float] = {}  # of teams, in processors
+        self.gangs: dict[tuple[str, int], dict[tuple[str, int], Worker]] = {}  # by job and attempt
+        self.cancelled: dict[str, float] = {}  # when the user was told
+        self.cancel_s = 0.0
+        self.done: dict[str, set[str]] = {}  # by job: tasks that were done
         self.broken: list[str] = []
         self.gone: dict[str, float] = {}  # by job: when the last of its tasks that was on a machine ended
+        self.again: Callable[[], float] = lambda: 0.0  # after how long a copy of a report comes; 0: never
+        self.copies: set[asyncio.Task[None]] = set()
         self.server = Server(self.handle)
 
     async def handle(self, request: Request) -> Answer:
         if request.path == "/catalog":
-            return answer(200, CATALOG)
+            return answer(200, catalog(self.zones))
         body: Any = msgspec.json.decode(request.body) if request.body else {}
         if request.path == "/machines/return":
             for name in body["Hosts"]:
+                self.died.pop(name, None)
                 worker = self.workers.pop(name, None)
                 if worker is not None:
                     worker.stop()
             return answer(200, {})
         if request.method == "GET":
-            return answer(200, {"Hosts": [self.listed(worker) for worker in self.workers.values()], "Truncated": False})
+            listed = [self.listed(worker, "running") for worker in self.workers.values()]
+            now = asyncio.get_running_loop().time()
+            for worker, when in self.died.values():
+                listed.append(self.listed(worker, "failed" if now - when > LISTED_FOR else "running"))
+            return answer(200, {"Hosts": listed, "Truncated": False})
         if body["Hire"] not in self.rented:
             self.rented[body["Hire"]] = [self.rent(body) for _ in range(body["Number"])]
         return answer(200, {"Hosts": self.rented[body["Hire"]]})
@@ -56,22 +84,99 @@
         return name
 
     @staticmethod
-    def listed(worker: Worker) -> dict[str, Any]:
+    def listed(worker: Worker, status: str) -> dict[str, Any]:
         return {
             "Ref": worker.name, "Endpoint": worker.address, "Build": worker.type, "Hall": worker.zone,
-            "Loaners": worker.spot, "Status": "running", "HeldS": 1.0,
+            "Loaners": worker.spot, "Status": status, "HeldS": 1.0,
         }  # fmt: skip
 
-    def starts(self, worker: Worker, task: str) -> None:
-        """`ran_twice`: while a task is on one machine, it starts on another."""
-        for other in self.workers.values():
-            if other is not worker and any(t["Piece"] == task and t["Status"] != "ended" for t in other.tasks.values()):
-                self.broken.append(f"{task} on {worker.name} and {other.name}")
+    def dies(self, name: str) -> None:
+        worker = self.workers.pop(name)
+        worker.stop()
+        self.died[name] = (worker, asyncio.get_running_loop().time())
+
+    def may_come_again(self, node: str, body: bytes) -> None:
+        """A copy of the report arrives at the same controller, perhaps."""
+        after = self.again()
+        if after > 0:
+            copy = asyncio.ensure_future(self._come_again(after, node, body))
+            self.copies.add(copy)
+            copy.add_done_callback(self.copies.discard)
+
+    async def _come_again(self, after: float, node: str, body: bytes) -> None:
+        await asyncio.sleep(after)
+        client = Client(self.controllers[node])
+        with contextlib.suppress(Unanswered):
+            await client.request("POST", "/hello", body)
+        client.close()
+
+    # -- tasks and the rules --------------------------------------------------
+
+    def job_of(self, task: str) -> dict[str, Any]:
+        return self.jobs.get(task.partition("/")[0], ARRAY)
+
+    def starts(self, worker: Worker, key: tuple[str, int]) -> None:
+        task = key[0]
+        name, spec = task.partition("/")[0], self.job_of(task)
+        live = [
+            (other, each)
+            for other in self.workers.values()
+            for each, status in other.tasks.items()
+            if status["Status"] != "ended"
+        ]
+        for other, (each, _) in live:
+            if other is not worker and each == task:
+                self.broken.append(f"ran_twice: {task} on {worker.name} and {other.name}")
+            if spec["SamePlace"] and each.partition("/")[0] == name and other.zone != worker.zone:
+                self.broken.append(f"wrong_place: {task} in {worker.zone}, {each} in {other.zone}")
+        used = sum(self.job_of(each)["Cpus"] for _, (each, _) in live if self.job_of(each)["Crew"] == spec["Crew"])
+        if used > self.limits.get(spec["Crew"], math.inf):
+            self.broken.append(f"quota: {spec['Crew']} uses {used}")
+        if name in self.cancelled and asyncio.get_running_loop().time() - self.cancelled[name] > self.cancel_s:
+            self.broken.append(f"ran_cancelled: {task} starts on {worker.name}")
+        if spec["Shape"] == "gang":
+            self._gathers(worker, key)
+        else:
+            run_s = self.run_seconds if spec["GuessS"] is None else spec["GuessS"]
+            asyncio.get_running_loop().call_later(run_s, worker.end_life, key, worker.life, "done")
+
+    def _gathers(self, worker: Worker, key: tuple[str, int]) -> None:
+        name, loop = key[0].partition("/")[0], asyncio.get_running_loop()
+        members = self.gangs.setdefault((name, key[1]), {})
+        members[key] = worker
+        worker.tasks[key]["Status"] = "gathering"
+        loop.call_later(GANG_WAIT, self._incomplete, worker, key, worker.life)
+        if len(members) == self.jobs[name]["Pieces"]:
+            for each, other in members.items():
+                other.tasks[each]["Status"] = "running"
+                other.changed.set()
+                loop.call_later(self.jobs[name]["GuessS"], other.end_life, each, other.life, "done")
+
+    def _incomplete(self, worker: Worker, key: tuple[str, int], life: int) -> None:
+        task = worker.tasks.get(key)
+        if worker.life == life and task is not None and task["Status"] == "gathering":
+            worker.end(key, "incomplete")
+
+    def ends(self, worker: Worker, key: tuple[str, int], cause: str) -> None:
+        """A task that was on a machine is there no more."""
+        name = key[0].partition("/")[0]
+        self.gone[name] = asyncio.get_running_loop().time()
+        if cause == "done":
+            self.done.setdefault(name, set()).add(key[0])
+        members = self.gangs.get((name, key[1]), {})
+        if members.pop(key, None) is not None and cause != "done":
+            for each, other in list(members.items()):
+                if other.tasks.get(each, {}).get("Status") == "running":
+                    asyncio.get_running_loop().call_later(GANG_PEER, other.end_life, each, other.life, "peers")
+        if name in self.cancelled and self.gone[name] - self.cancelled[name] > self.cancel_s:
+            self.broken.append(f"ran_cancelled: {key[0]} was on {worker.name}")
 
     def tasks(self) -> list[str]:
         return [t["Piece"] for w in self.workers.values() for t in w.tasks.values() if t["Status"] != "ended"]
 
     def stop(self) -> None:
+        for copy in self.copies:
+            copy.cancel()
         for worker in self.workers.values():
             worker.stop()
 
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+from collections.abc import Callable
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
@@ -14,6 +15,7 @@
 if TYPE_CHECKING:
     from tests.standins.cloud import Cloud
 
+CPUS = 8.0
 LEASE = 4.0
 GIVES_UP = 4.0
 
@@ -32,12 +34,14 @@
         self.name, self.type, self.zone, self.spot = name, type_name, zone, spot
         self.session, self.seq, self.token = 1, 0, 0
         self.tasks: dict[tuple[str, int], dict[str, Any]] = {}
+        self.life = 0  # grows whenever all its tasks are gone: what was planned for them is void
         self.nodes = list(cloud.controllers)
         self.node = self.nodes[0]
         self.changed = asyncio.Event()
         self.deaf = False  # its reports arrive, no answer and no command reaches it
         self.unordered = False  # commands sent directly don't reach it
         self.reaches = set(self.nodes)  # others are behind a cut
+        self.answers_late: Callable[[], float] = lambda: 0.0  # so many seconds after they have come
         self.answered = 0.0  # when the last report that was answered had been sent
         self.address = f"127.0.0.1:{free_port()}"
         self.server = Server(self.handle)
@@ -54,6 +58,7 @@
         for key in list(self.tasks):
             self.end(key, "gone")
         self.tasks.clear()
+        self.life += 1
 
     async def live(self) -> None:
         clock = asyncio.get_running_loop().time
@@ -109,21 +114,23 @@
 
     async def report(self, sent: float) -> bool:
         """True if the answer counted."""
-        body = self.describe()
+        body = msgspec.json.encode(self.describe())
         session = self.session
         client = Client(self.cloud.controllers[self.node])
+        self.cloud.may_come_again(self.node, body)
         try:
             if self.node not in self.reaches:
                 raise Unanswered("behind a cut that refuses connections")
-            status, answer = await client.request(
-                "POST", "/hello", msgspec.json.encode(body), timeout=timedelta(seconds=3)
-            )
+            status, answer = await client.request("POST", "/hello", body, timeout=timedelta(seconds=3))
         except Unanswered:
             status, answer = 0, b"{}"
         finally:
             client.close()
-        if self.deaf:
-            await asyncio.sleep(max(sent + GIVES_UP - asyncio.get_running_loop().time(), 0))  # it gives the answer up
+        clock = asyncio.get_running_loop().time
+        held_up = self.answers_late()
+        if self.deaf or held_up:  # it gives the answer up if it takes too long
+            await asyncio.sleep(min(held_up or GIVES_UP, max(sent + GIVES_UP - clock(), 0)))
+        if self.deaf or clock() - sent >= GIVES_UP:
             status, answer = 0, b"{}"
         got = msgspec.json.decode(answer)
         if status == 200 and session == self.session and got.get("Baton", -1) >= self.token:
@@ -143,18 +150,43 @@
         key = (command["Piece"], command["Try"])
         task = self.tasks.get(key)
         if command["Verb"] == "run" and task is None:
-            self.cloud.starts(self, command["Piece"])
-            self.tasks[key] = {"Piece": command["Piece"], "Try": command["Try"], "Status": "running"}
-            asyncio.get_running_loop().call_later(self.cloud.run_seconds, self.end, key, "done")
+            self.run(key)
         elif command["Verb"] == "stop" and task is not None:
             self.end(key, "stopped")
         elif command["Verb"] == "forget" and task is not None and task["Status"] == "ended":
             del self.tasks[key]
         self.changed.set()
 
+    def run(self, key: tuple[str, int]) -> None:
+        self.tasks[key] = {"Piece": key[0], "Try": key[1], "Status": "running"}
+        if any(name == key[0] and attempt != key[1] and self.on(name, attempt) for name, attempt in self.tasks):
+            self.end(key, "busy")
+        elif sum(self.cloud.job_of(name)["Cpus"] for name, attempt in self.tasks if self.on(name, attempt)) > CPUS:
+            self.end(key, "full")
+        else:
+            self.cloud.starts(self, key)
+
+    def on(self, name: str, attempt: int) -> bool:
+        """Whether this attempt of the task is on this machine."""
+        return self.tasks[(name, attempt)]["Status"] != "ended"
+
     def end(self, key: tuple[str, int], cause: str) -> None:
         task = self.tasks.get(key)
         if task is not None and task["Status"] != "ended":
             task["Status"], task["Cause"] = "ended", cause
-            self.cloud.gone[key[0].partition("/")[0]] = asyncio.get_running_loop().time()
+            self.cloud.ends(self, key, cause)
             self.changed.set()
+
+    def end_life(self, key: tuple[str, int], life: int, cause: str) -> None:
+        """What was planned when the task started, unless the machine has lost all its tasks since."""
+        if life == self.life:
+            self.end(key, cause)
+
+    def begin_again(self, *, anew: bool) -> None:
+        """It has ended and is back at once; ``anew``: its sessions and reports are numbered from 1 on."""
+        self.drop_tasks()
+        self.token = 0
+        self.answered = asyncio.get_running_loop().time()
+        if anew:
+            self.session, self.seq = 1, 0
+        self.changed.set()
