--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,3 @@
+"""What all tests run with."""
+
+pytest_plugins = ["pytester", "tests.known_red"]
--- a/tests/standins/state.py
+++ b/tests/standins/state.py
@@ -25,6 +25,8 @@
         self.next_lease = 1
         self.down = False
         self.refused: set[str] = set()  # nodes that alone get 503
+        self.slow: Callable[[], float] = lambda: 0.0  # seconds that an answer takes
+        self.late: Callable[[], float] = lambda: 0.0  # a transaction is carried out so much later, unanswered; 0: not
         self.servers: list[Server] = []
         # What is done with a raise of the term instead of carrying it out; given the node and the raise itself.
         self.on_raise: Callable[[str, Callable[[], Answer]], Awaitable[Answer]] | None = None
@@ -43,6 +45,7 @@
             server.stop()
 
     async def handle(self, request: Request, node: str) -> Answer:
+        await asyncio.sleep(self.slow())
         if self.down or node in self.refused:
             return answer(503, {"error": "trouble"})
         self.expire()
@@ -51,6 +54,10 @@
             body = msgspec.json.decode(request.body)
             if self.on_raise is not None and any(write.get("Put") == "gs/term" for write in body.get("Writes", [])):
                 return await self.on_raise(node, lambda: self.commit(body))
+            late = self.late()
+            if late > 0:
+                await asyncio.sleep(late)  # its sender has given up meanwhile
+                self.expire()
             return self.commit(body)
         if request.path == "/changes":
             since = int(query["Since"])
--- /dev/null
+++ b/tests/test_drawn_meetings.py
@@ -0,0 +1,70 @@
+"""Troubles that were drawn meet, by simulated time; whatever they are, no rule is broken and all jobs end.
+
+Each seed is one day of two minutes. `python -m tests.test_drawn_meetings 100 200` plays more of them.
+"""
+
+import asyncio
+import logging
+import sys
+from random import Random
+
+import pytest
+
+from tests.standins.cluster import Cluster
+from tests.standins.simulated import SimulatedClock, play
+from tests.standins.troubles import Troubles
+from tests.standins.users import Users
+
+JOBS = 20
+SUBMITTED_WITHIN = 40.0  # seconds
+ALL_OVER = 240.0  # after the end of all troubles every job is
+
+
+async def day(seed: int) -> tuple[list[str], list[str]]:
+    """What was drawn, and what was broken."""
+    random = Random(seed)
+    zones = random.choice([("a",), ("a", "b"), ("a", "b", "c")])
+    cancel_s = random.choice([5.5, 8.0, 12.0, 30.0])
+    cluster = Cluster(cancel_s=cancel_s, clock=SimulatedClock(), zones=zones, limits={"red": 40.0, "blue": 24.0})
+    cluster.start()
+    users, troubles = Users(cluster, random), Troubles(cluster, random)
+    probe = asyncio.ensure_future(users.probe())
+    try:
+        users.begin(JOBS, SUBMITTED_WITHIN, cancelled=0.3)
+        await troubles.play()
+        users.over = users.now()
+        _, late = await asyncio.wait(users.lives, timeout=ALL_OVER)
+        for life in late:
+            life.cancel()
+        missing = sorted(users.accepted - users.told.keys())
+        broken = cluster.cloud.broken + [f"not over: {name}" for name in missing]
+        drawn = [f"zones {len(zones)}, cancel_s {cancel_s:g}", *troubles.said, f"no answer for {users.at_last:.1f} s"]
+        return drawn, broken
+    finally:
+        probe.cancel()
+        await cluster.stop()
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_drawn_meetings(seed: int) -> None:
+    async def scene() -> None:
+        drawn, broken = await day(seed)
+        assert not broken, drawn
+
+    play(scene())
+
+
+def main(first: int, last: int) -> None:
+    for seed in range(first, last):
+
+        async def scene(seed: int = seed) -> None:
+            drawn, broken = await day(seed)
+            print(seed, "; ".join(drawn), "BROKEN " + "; ".join(broken[:6]) if broken else "", flush=True)
+
+        play(scene())
+
+
+if __name__ == "__main__":
+    if len(sys.argv) > 3:
+        logging.basicConfig(level=logging.DEBUG, format="%(name)s %(message)s")
+    main(int(sys.argv[1]), int(sys.argv[2]))
