--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -6,6 +6,8 @@
 from types import SimpleNamespace
 from typing import Any
 
+import msgspec
+
 from gingerspar.coordination.books.ledger import MachineState, Placement, TaskState
 from gingerspar.coordination.books.runs import JobRun
 from gingerspar.coordination.holder.command import (
@@ -19,7 +21,17 @@
 from gingerspar.coordination.holder.dispatcher import Dispatcher
 from gingerspar.coordination.holder.strain import Strain, StrainState
 from gingerspar.coordination.machines.cloud import Cloud, NotEntitled
-from gingerspar.protocol.messages import JobSpec, JobStatus, MachineType, Priority, RentRequest, Shape
+from gingerspar.protocol.messages import (
+    JobSpec,
+    JobStatus,
+    ListedMachine,
+    MachineStatus,
+    MachineType,
+    Priority,
+    RentRequest,
+    Report,
+    Shape,
+)
 from gingerspar.protocol.settings import OperatorSettings, WorkerFacts
 from gingerspar.storage.records import JobRecord, TaskSet
 from gingerspar.transport.clock import Clock
@@ -41,21 +53,27 @@
         return ["n-2"]
 
 
-async def _orders(age: list[timedelta]) -> _Cloud:
-    """Asks for a return and a rental while the last read of the state is ``age`` old."""
-    cloud = _Cloud()
-    workers = WorkerFacts(report_s=2.5, lease_s=18, cancel_s=43)
-    dispatcher = Dispatcher(1, timedelta(0), workers, [])
-    machine = dispatcher.book.add_machine("n-1", "big", "a", False, timedelta(0), MachineState.LOST)
-    machine.move(MachineState.RETURNING)
+def _post(cloud: Any, dispatcher: Dispatcher, age: list[timedelta]) -> CommandPost:
     view: Any = SimpleNamespace(on_job=[], final={}, roster={}, age=lambda: age[0], final_spec=lambda job: None)
     rest: Any = SimpleNamespace()
-    facts: Any = SimpleNamespace()
-    post = CommandPost(
-        "n1", dispatcher, rest, view, rest, cloud, Clock(), facts, OperatorSettings(),  # type: ignore[arg-type]
+    facts: Any = SimpleNamespace(cloud=SimpleNamespace(list_lag=timedelta(seconds=3)))
+    return CommandPost(
+        "n1", dispatcher, rest, view, rest, cloud, Clock(), facts, OperatorSettings(),
         lambda: True, lambda node, jobs: None, lambda node, job, attempt: None,
         lambda: Answer(421, b"{}"), lambda: None, Strain(Clock()),
     )  # fmt: skip
+
+
+WORKERS = WorkerFacts(report_s=2.5, lease_s=18, cancel_s=43)
+
+
+async def _orders(age: list[timedelta]) -> _Cloud:
+    """Asks for a return and a rental while the last read of the state is ``age`` old."""
+    cloud = _Cloud()
+    dispatcher = Dispatcher(1, timedelta(0), WORKERS, [])
+    machine = dispatcher.book.add_machine("n-1", "big", "a", False, timedelta(0), MachineState.LOST)
+    machine.move(MachineState.RETURNING)
+    post = _post(cloud, dispatcher, age)
     returning = asyncio.ensure_future(post._give_back([machine]))
     await post._rent(("big", "a", False), 1)
     await asyncio.sleep(0.05)
@@ -75,6 +93,31 @@
     assert (cloud.returned, cloud.rented) == (["n-1"], 1)
 
 
+async def _listed_as_failed() -> Dispatcher:
+    """The cloud lists three machines as failed; one of them has reported in this term."""
+    dispatcher = Dispatcher(
+        2, timedelta(0), WORKERS, [], roster=[("n-1", "big", "a", False), ("n-2", "big", "a", False)]
+    )
+    dispatcher.book.add_machine("n-3", "big", "a", False, timedelta(0), MachineState.BOOTING)
+    report = Report("n-1", "10.0.0.9:1", "big", "a", 1, 7, 2, False, None, msgspec.Raw(b"[]"))
+    dispatcher.report(report, timedelta(seconds=1))
+
+    async def machines() -> list[ListedMachine]:
+        return [ListedMachine(name, "big", "a", MachineStatus.FAILED) for name in ("n-1", "n-2", "n-3")]
+
+    post = _post(SimpleNamespace(machines=machines), dispatcher, [timedelta(0)])
+    listing = asyncio.ensure_future(post._run_list())
+    await asyncio.sleep(0.05)
+    listing.cancel()
+    return dispatcher
+
+
+def test_the_list_of_failed_machines_is_not_believed_about_one_that_has_reported() -> None:
+    """Lists are late and go back in time; a machine may have failed and be back with new work."""
+    states = {name: machine.state for name, machine in asyncio.run(_listed_as_failed()).machines.items()}
+    assert states == {"n-1": MachineState.READY, "n-2": MachineState.LOST, "n-3": MachineState.LOST}
+
+
 async def _order_after_standing_still() -> int:
     """An order waits for its turn at the cloud while its sender loses the right to give it."""
     asked: list[str] = []
