--- a/gingerspar/coordination/books/ledger.py
+++ b/gingerspar/coordination/books/ledger.py
@@ -95,11 +95,6 @@
         """Less urgent work is stopped for work of a lower rank."""
         return 0 if self.shielded else self.spec.priority.rank
 
-    @property
-    def stop_due(self) -> bool:
-        """A stop is wanted; a planned task never reached its machine and needs none."""
-        return self.stop is not None and self.state is not TaskState.PLANNED
-
     @property
     def live(self) -> bool:
         """It is, or may be, on the machine."""
--- a/gingerspar/coordination/holder/dispatcher.py
+++ b/gingerspar/coordination/holder/dispatcher.py
@@ -449,15 +449,15 @@
             return self._stops_of_what_is_over(report)
         if machine.state not in (MachineState.READY, MachineState.LEAVING):
             return []
-        live = list(machine.live.values())
-        found = [self._stop(placement) for placement in live if self.runs[placement.job].over and placement.stop_due]
-        del found[MOST_COMMANDS:]
+        stopping = [p for p in machine.live.values() if p.stop is not None and p.state is not TaskState.PLANNED]
+        over = [placement for placement in stopping if self.runs[placement.job].over]
+        found = [self._stop(placement) for placement in over[:MOST_COMMANDS]]
         for (job, number, attempt), cause in machine.exited.items():
             run = self.runs.get(job)
             keep = cause is Cause.DONE and run is not None and not run.over and number in run.unsaved
             if not keep and len(found) < MOST_COMMANDS:
                 found.append(Command(Verb.FORGET, f"{job}/{number}", attempt))
-        for placement in live:
+        for placement in list(machine.live.values()):
             if len(found) >= MOST_COMMANDS:
                 break
             if placement.state is TaskState.PLANNED:
@@ -466,7 +466,7 @@
                 machine.tasks_seen = None  # the next report tells whether it arrived
                 log.debug("run %s attempt %d on %s", placement.name, placement.attempt, machine.name)
                 found.append(Command(Verb.RUN, placement.name, placement.attempt))
-            elif placement.stop_due and not self.runs[placement.job].over:
+            elif placement.stop is not None and placement not in over:
                 found.append(self._stop(placement))
         return found
 
--- a/tests/standins/cloud.py
+++ b/tests/standins/cloud.py
@@ -19,12 +19,12 @@
 ARRAY = {"Shape": "batch", "Cpus": 4.0, "Crew": "red", "Pieces": 1_000_000, "SamePlace": False, "GuessS": None}
 
 
-def catalog(zones: Sequence[str]) -> dict[str, Any]:
+def catalog(zones: Sequence[str], startup_s: float) -> dict[str, Any]:
     return {
         "Builds": [
             {
                 "Label": "small", "Cpus": CPUS, "Cards": 0, "MemoryGb": 32, "CacheGb": 20, "PullGbPerS": 10.0,
-                "Hourly": 1.0, "SpotPrice": 0.3, "StartupS": 1, "Halls": list(zones),
+                "Hourly": 1.0, "SpotPrice": 0.3, "StartupS": startup_s, "Halls": list(zones),
             }
         ]
     }  # fmt: skip
@@ -40,6 +40,7 @@
         self.run_seconds = run_seconds
         self.report_seconds = report_seconds
         self.zones = zones
+        self.startup_s = 1.0  # as the catalog says: the longer, the longer idle machines are kept
         self.workers: dict[str, Worker] = {}
         self.died: dict[str, tuple[Worker, float]] = {}  # and when
         self.rented: dict[str, list[str]] = {}
@@ -58,7 +59,7 @@
 
     async def handle(self, request: Request) -> Answer:
         if request.path == "/catalog":
-            return answer(200, catalog(self.zones))
+            return answer(200, catalog(self.zones, self.startup_s))
         body: Any = msgspec.json.decode(request.body) if request.body else {}
         if request.path == "/machines/return":
             for name in body["Hosts"]:
--- a/tests/standins/troubles.py
+++ b/tests/standins/troubles.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from tests.standins.cluster import NAMES, Cluster
+from tests.standins.users import Users
 from tests.standins.worker import LEASE, Worker
 
 FIRST, LAST, END = 8.0, 45.0, 50.0  # seconds: troubles begin between the first two
@@ -14,8 +15,9 @@
 class Troubles:
     """Carries out what was drawn from one seed and says what that was."""
 
-    def __init__(self, cluster: Cluster, random: Random) -> None:
+    def __init__(self, cluster: Cluster, users: Users, random: Random) -> None:
         self.cluster = cluster
+        self.users = users
         self.random = random
         self.said: list[str] = []
         self.kinds: list[Callable[[float], Awaitable[None]]] = [
@@ -90,7 +92,10 @@
         await self._refused({name for name in NAMES if self.random.random() < 0.5}, span)
 
     async def leader_refused(self, span: float) -> None:
-        await self._refused({self.leader()}, span)
+        """Alone, with all links up or with none, while users cancel."""
+        links = self._apart(set(NAMES), span) if self.random.random() < 0.5 else asyncio.sleep(0)
+        cancelling = self.users.cancel_some(self.random.uniform(0, 1))
+        await asyncio.gather(self._refused({self.leader()}, span), links, cancelling)
 
     async def _refused(self, names: set[str], span: float) -> None:
         self.cluster.state.refused |= names
@@ -135,7 +140,8 @@
         for worker in self.cluster.cloud.workers.values():
             worker.reaches = {inside} if worker.zone == zone else set(NAMES) - {inside}
             worker.unordered = worker.zone == zone
-        await asyncio.gather(self._refused({inside}, span), self._apart({inside}, span))
+        cancelling = self.users.cancel_some(self.random.uniform(0, 1))
+        await asyncio.gather(self._refused({inside}, span), self._apart({inside}, span), cancelling)
         for worker in self.cluster.cloud.workers.values():
             worker.reaches, worker.unordered = set(NAMES), False
 
--- a/tests/standins/users.py
+++ b/tests/standins/users.py
@@ -113,6 +113,13 @@
         if status in (200, 201):
             self.hear(spec["Ref"], body)
 
+    async def cancel_some(self, after: float) -> None:
+        """Several at once change their minds about jobs that run."""
+        await asyncio.sleep(after)
+        on_machines = sorted({task.partition("/")[0] for task in self.cluster.cloud.tasks()} - self.asked_to_cancel)
+        some = self.random.sample(on_machines, min(3, len(on_machines)))
+        await asyncio.gather(*(self.cancel(name, 0) for name in some))
+
     async def cancel(self, name: str, after: float) -> None:
         await asyncio.sleep(after)
         self.asked_to_cancel.add(name)
--- a/tests/test_drawn_meetings.py
+++ b/tests/test_drawn_meetings.py
@@ -26,8 +26,11 @@
     zones = random.choice([("a",), ("a", "b"), ("a", "b", "c")])
     cancel_s = random.choice([5.5, 8.0, 12.0, 30.0])
     cluster = Cluster(cancel_s=cancel_s, clock=SimulatedClock(), zones=zones, limits={"red": 40.0, "blue": 24.0})
+    if random.random() < 0.6:  # machines are kept when nothing runs on them: there is room elsewhere at once
+        cluster.cloud.startup_s, cluster.idle_return_s = 15.0, 60.0
     cluster.start()
-    users, troubles = Users(cluster, random), Troubles(cluster, random)
+    users = Users(cluster, random)
+    troubles = Troubles(cluster, users, random)
     probe = asyncio.ensure_future(users.probe())
     try:
         users.begin(JOBS, SUBMITTED_WITHIN, cancelled=0.3)
