--- a/tests/standins/cloud.py
+++ b/tests/standins/cloud.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import math
+from collections import Counter
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -51,6 +52,8 @@
         self.cancelled: dict[str, float] = {}  # when the user was told
         self.cancel_s = 0.0
         self.done: dict[str, set[str]] = {}  # by job: tasks that were done
+        self.takes: dict[str, float] = {}  # seconds that a task runs, where it is not as its job's others
+        self.started: Counter[str] = Counter()
         self.broken: list[str] = []
         self.gone: dict[str, float] = {}  # by job: when the last of its tasks that was on a machine ended
         self.again: Callable[[], float] = lambda: 0.0  # after how long a copy of a report comes; 0: never
@@ -119,6 +122,7 @@
     def starts(self, worker: Worker, key: tuple[str, int]) -> None:
         task = key[0]
         name, spec = task.partition("/")[0], self.job_of(task)
+        self.started[task] += 1
         live = [
             (other, each)
             for other in self.workers.values()
@@ -138,7 +142,7 @@
         if spec["Shape"] == "gang":
             self._gathers(worker, key)
         else:
-            run_s = self.run_seconds if spec["GuessS"] is None else spec["GuessS"]
+            run_s = self.takes.get(task, self.run_seconds if spec["GuessS"] is None else spec["GuessS"])
             asyncio.get_running_loop().call_later(run_s, worker.end_life, key, worker.life, "done")
 
     def _gathers(self, worker: Worker, key: tuple[str, int]) -> None:
--- a/tests/standins/state.py
+++ b/tests/standins/state.py
@@ -26,7 +26,8 @@
         self.down = False
         self.refused: set[str] = set()  # nodes that alone get 503
         self.slow: Callable[[], float] = lambda: 0.0  # seconds that an answer takes
-        self.late: Callable[[], float] = lambda: 0.0  # a transaction is carried out so much later, unanswered; 0: not
+        # By how much later a transaction is carried out, unanswered; 0: at once. Given its writes.
+        self.late: Callable[[list[dict[str, Any]]], float] = lambda writes: 0.0
         self.servers: list[Server] = []
         # What is done with a raise of the term instead of carrying it out; given the node and the raise itself.
         self.on_raise: Callable[[str, Callable[[], Answer]], Awaitable[Answer]] | None = None
@@ -54,7 +55,7 @@
             body = msgspec.json.decode(request.body)
             if self.on_raise is not None and any(write.get("Put") == "gs/term" for write in body.get("Writes", [])):
                 return await self.on_raise(node, lambda: self.commit(body))
-            late = self.late()
+            late = self.late(body.get("Writes", []))
             if late > 0:
                 await asyncio.sleep(late)  # its sender has given up meanwhile
                 self.expire()
--- a/tests/standins/troubles.py
+++ b/tests/standins/troubles.py
@@ -113,9 +113,9 @@
         self.cluster.state.slow = lambda: 0.0
 
     async def late_writes(self, span: float) -> None:
-        self.cluster.state.late = lambda: self.random.uniform(2, 12) if self.random.random() < 0.3 else 0.0
+        self.cluster.state.late = lambda writes: self.random.uniform(2, 12) if self.random.random() < 0.3 else 0.0
         await asyncio.sleep(span)
-        self.cluster.state.late = lambda: 0.0
+        self.cluster.state.late = lambda writes: 0.0
 
     async def links_refused(self, span: float) -> None:
         await self._apart(set(NAMES), span)
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -51,6 +51,7 @@
         self.deaf = False  # its reports arrive, no answer and no command reaches it
         self.unordered = False  # commands sent directly don't reach it
         self.reaches = set(self.nodes)  # others are behind a cut
+        self.orders_late = 0.0  # so many seconds after they were sent commands are carried out that are sent directly
         self.answers_late: Callable[[], float] = lambda: 0.0  # so many seconds after they have come
         self.answered = 0.0  # when the last report that was answered had been sent
         self.address = f"127.0.0.1:{free_port()}"
@@ -106,6 +107,15 @@
         """What controllers ask it directly."""
         if self.deaf or (self.unordered and request.path == "/commands"):
             return asyncio.get_running_loop().create_future()  # as if it had not arrived
+        if self.orders_late and request.path == "/commands":
+            return asyncio.ensure_future(self.handle_late(request))
+        return self.obey(request)
+
+    async def handle_late(self, request: Request) -> Answer:
+        await asyncio.sleep(self.orders_late)
+        return self.obey(request)
+
+    def obey(self, request: Request) -> Answer:
         status = 200
         if request.path == "/commands":
             orders = msgspec.json.decode(request.body)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -1,13 +1,14 @@
 """Two troubles at once, by simulated time: the rules hold where they meet."""
 
 import asyncio
+from typing import Any
 
 import pytest
 
 from gingerspar.coordination.membership.term import authority_span
 from gingerspar.protocol.settings import WorkerFacts
 from tests.standins.cloud import settle
-from tests.standins.cluster import NAMES, Cluster
+from tests.standins.cluster import NAMES, Cluster, job
 from tests.standins.simulated import SimulatedClock, play
 from tests.standins.worker import LEASE
 
@@ -117,3 +118,255 @@
 def test_a_leader_lost_with_a_zone_starts_nothing_that_runs_under_its_successor() -> None:
     """bench/days/zone-lost-vatuloa: 557 tasks ran in two places at once."""
     play(_leader_lost_with_a_zone())
+
+
+# -- a leader with nothing but its workers and its users; jobs are cancelled through the new one --------------------
+
+
+async def _cancelled_through_the_new_leader() -> None:
+    cluster = await started(12, jobs=2)
+    clock = asyncio.get_running_loop().time
+    try:
+        holder, others = holder_and_others(cluster)
+        cluster.state.refused, cluster.apart = {holder}, {holder}
+        for worker in cluster.cloud.workers.values():
+            worker.reaches, worker.unordered = {holder}, True  # they can't be told of the new one either
+        assert await settle(lambda: cluster.holder() in others, 20), "nobody took the term"
+        status, body = await cluster.ask(others[0], "POST", "/v1/jobs/wk-000001/abort", b"")
+        confirmed = clock()
+        assert (status, body["Status"]) == (200, "aborted")
+        while clock() < confirmed + 12:  # what its users are told there is never older than that
+            for method, path in (("GET", "/v1/jobs/wk-000001"), ("POST", "/v1/jobs")):
+                status, _ = await cluster.ask(holder, method, path, job(1) if method == "POST" else None)
+                assert status in (0, 503)
+            await asyncio.sleep(0.5)
+        assert cluster.cloud.gone["wk-000001"] - confirmed < 12
+        assert on_machines(cluster, 1) == 0
+
+        cluster.state.refused, cluster.apart = set(), set()
+        for worker in cluster.cloud.workers.values():
+            worker.reaches, worker.unordered = set(NAMES), False
+        assert await settle(lambda: on_machines(cluster, 2) == 3, 30), "the other job did not go on"
+        assert (await cluster.ask(holder, "GET", "/v1/jobs/wk-000001"))[1]["Status"] == "aborted"
+        assert on_machines(cluster, 1) == 0
+        assert not cluster.cloud.broken
+    finally:
+        await cluster.stop()
+
+
+def test_cancelled_through_the_new_leader_while_the_old_one_keeps_workers_and_users() -> None:
+    play(_cancelled_through_the_new_leader())
+
+
+# -- a leader ends -------------------------------------------------------------------------------------------------
+
+
+async def _ends_while_machines_hear_nothing(*, deaf: bool, cut: bool) -> None:
+    """Long tasks on a machine that its successor's answers don't reach, or that can't be reached at all."""
+    cluster = await started(12, jobs=2)
+    try:
+        holder, _ = holder_and_others(cluster)
+        lost = next(worker for worker in cluster.cloud.workers.values() if worker.tasks)
+        lost.deaf, lost.unordered, lost.reaches = deaf, True, set() if cut else set(NAMES)
+        await cluster.kill(holder)
+        await asyncio.sleep(0.5)
+        cluster.start_node(holder)
+        await asyncio.sleep(30)  # past its lease its work is done elsewhere
+        assert len(cluster.cloud.tasks()) == 6
+        lost.deaf, lost.unordered, lost.reaches = False, False, set(NAMES)
+        await asyncio.sleep(20)
+        assert len(cluster.cloud.tasks()) == 6
+        assert not cluster.cloud.broken
+    finally:
+        await cluster.stop()
+
+
+@pytest.mark.parametrize(("deaf", "cut"), [(True, False), (False, True)], ids=["it hears nothing", "it is cut off"])
+def test_a_leader_ends_while_a_machine_with_long_tasks_is_out_of_reach(deaf: bool, cut: bool) -> None:
+    play(_ends_while_machines_hear_nothing(deaf=deaf, cut=cut))
+
+
+async def _far_apart() -> None:
+    """Tasks of one job that end 20 s apart; the leader ends between each two of them, and so does the claimant."""
+    cluster = Cluster(3600, 12, clock=SimulatedClock())
+    cluster.cloud.takes = {"wk-000001/0": 3.0, "wk-000001/1": 14.0, "wk-000001/2": 25.0}
+    cluster.start()
+    try:
+        assert await settle(lambda: cluster.accepts("n0", 1), 10)
+        assert await settle(lambda: len(cluster.cloud.tasks()) == 3, 30)
+        for _ in range(2):
+            done = len(cluster.cloud.done.get("wk-000001", ()))
+            assert await settle(lambda done=done: len(cluster.cloud.done.get("wk-000001", ())) > done, 30)
+            for name in NAMES:  # before the finish is in the record, perhaps
+                await cluster.kill(name)
+                await asyncio.sleep(0.2)
+                cluster.start_node(name)
+            assert await settle(lambda: cluster.holder() is not None, 10)
+        told = None
+        while told != "done":
+            await asyncio.sleep(0.5)
+            status, body = await cluster.ask("n1", "GET", "/v1/jobs/wk-000001")
+            told = body["Status"] if status == 200 else None
+            assert told != "done" or len(cluster.cloud.done["wk-000001"]) == 3, "done too early"
+        assert dict(cluster.cloud.started) == {f"wk-000001/{number}": 1 for number in range(3)}, "run again"
+    finally:
+        await cluster.stop()
+
+
+def test_tasks_that_end_far_apart_across_changes_of_the_leader() -> None:
+    play(_far_apart())
+
+
+async def _one_returns() -> None:
+    """All end; one is back within a fraction of a second, and hands over to the others and back as they end."""
+    cluster = await started(12, jobs=2)
+    try:
+        sessions = {name: worker.session for name, worker in cluster.cloud.workers.items() if worker.tasks}
+        for name in NAMES:
+            await cluster.kill(name)
+        await asyncio.sleep(0.4)
+        cluster.start_node("n1")
+        assert await settle(lambda: cluster.nodes["n1"][0]._keeper.dispatching(), 4), (
+            "the one that is back commands not"
+        )
+        for name in ("n0", "n2"):
+            cluster.start_node(name)
+        for _ in range(4):
+            await asyncio.sleep(5)
+            holder, _ = holder_and_others(cluster)
+            await cluster.kill(holder)
+            await asyncio.sleep(0.6)
+            cluster.start_node(holder)
+        await asyncio.sleep(10)
+        assert sessions.items() <= {name: worker.session for name, worker in cluster.cloud.workers.items()}.items()
+        assert len(cluster.cloud.tasks()) == 6
+        assert set(cluster.cloud.started.values()) == {1}
+        assert not cluster.cloud.broken
+    finally:
+        await cluster.stop()
+
+
+def test_all_end_and_one_returns_and_they_hand_over_and_back() -> None:
+    play(_one_returns())
+
+
+# -- what comes late -----------------------------------------------------------------------------------------------
+
+
+async def _late(*, reports: bool, answers: bool, orders: bool, run_seconds: float = 3.0) -> None:
+    """For 40 s all of it comes late, while the leader ends and jobs are cancelled and done."""
+    cluster = Cluster(run_seconds, 12, clock=SimulatedClock())
+    cluster.start()
+    late = iter(range(1_000_000))
+    cluster.cloud.again = lambda: 2 + next(late) * 0.7 % 11 if reports else 0.0
+    try:
+        for number in range(1, 9):
+            assert await settle(lambda number=number: cluster.accepts("n0", number), 10)
+            for worker in cluster.cloud.workers.values():
+                worker.orders_late = 5.0 if orders else 0.0
+                worker.answers_late = (lambda: next(late) * 1.3 % 6) if answers else (lambda: 0.0)
+            await asyncio.sleep(5)
+            if number in (3, 6):
+                holder, _ = holder_and_others(cluster)
+                await cluster.kill(holder)
+                await asyncio.sleep(0.3)
+                cluster.start_node(holder)
+            if number in (4, 7):
+                assert await settle(lambda number=number: _cancelled(cluster, number), 20)
+        cluster.cloud.again = lambda: 0.0
+        for worker in cluster.cloud.workers.values():
+            worker.orders_late, worker.answers_late = 0.0, lambda: 0.0
+        for number in (1, 2, 3, 5, 6, 8):
+            assert await settle(lambda number=number: _done(cluster, number), 40), f"job {number} is not done"
+        assert not cluster.cloud.broken
+    finally:
+        await cluster.stop()
+
+
+async def _cancelled(cluster: Cluster, number: int) -> bool:
+    status, body = await cluster.ask("n1", "POST", f"/v1/jobs/{job_name(number)}/abort", b"")
+    if status == 200 and body["Status"] == "aborted":
+        cluster.cloud.cancelled.setdefault(job_name(number), asyncio.get_running_loop().time())
+    return status == 200
+
+
+async def _done(cluster: Cluster, number: int) -> bool:
+    status, body = await cluster.ask("n1", "GET", f"/v1/jobs/{job_name(number)}")
+    return status == 200 and body["Status"] == "done"
+
+
+@pytest.mark.parametrize("what", ["reports", "answers", "orders"])
+def test_what_comes_late_of_machines_that_go_on(what: str) -> None:
+    play(_late(reports=what == "reports", answers=what == "answers", orders=what == "orders"))
+
+
+# Which transactions are carried out late; the job's status tells what is done to its record.
+KINDS = {
+    "submission": ("gs/j/", "pending", 0),
+    "claim": ("gs/j/", "running", 0),
+    "result": ("gs/j/", "done", 0),
+    "sweep or release": ("gs/j/", "pending", 1),
+    "cancellation": ("gs/j/", "aborted", 0),
+    "term": ("gs/term", "", 0),
+    "session": ("gs/n/", "", 0),
+    "sign of life": ("gs/b/", "", 0),
+    "roster": ("gs/r/", "", 0),
+}
+
+
+def _is(kind: str, writes: list[dict[str, Any]]) -> bool:
+    prefix, status, attempt = KINDS[kind]
+    return any(
+        write.get("Put", "").startswith(prefix)
+        and (not status or write["Data"]["status"] == status)
+        and write["Data"].get("attempt", 0) >= attempt
+        for write in writes
+    )
+
+
+async def _late_transactions(kind: str) -> None:
+    """Every other one of a kind has no answer and is carried out 2 to 12 s later, after newer ones."""
+    cluster = Cluster(6.0, 12, clock=SimulatedClock())
+    seen = 0
+
+    def late(writes: list[dict[str, Any]]) -> float:
+        nonlocal seen
+        seen += _is(kind, writes)
+        return 2.0 + seen * 1.7 % 10 if _is(kind, writes) and seen % 2 else 0.0
+
+    cluster.state.late = late
+    cluster.start()
+    try:
+        for number in range(1, 6):
+            assert await settle(lambda number=number: cluster.accepts("n0", number), 30), "a job was not accepted"
+        await asyncio.sleep(2)
+        cluster.apart = set(NAMES)  # signs of life are written
+        await asyncio.sleep(5)
+        cluster.apart = set()
+        assert await settle(lambda: cluster.accepts("n0", 9), 30)
+        await asyncio.sleep(2)
+        await cluster.kill("n0")  # which has claimed what it accepted; it may be the leader as well
+        await asyncio.sleep(6)  # its session lapses, its records are swept
+        cluster.start_node("n0")
+        for number in range(6, 9):
+            assert await settle(lambda number=number: cluster.accepts("n1", number), 30), "a job was not accepted"
+        assert await settle(lambda: _cancelled(cluster, 8), 30)
+        for number in (*range(1, 8), 9):
+            assert await settle(lambda number=number: _done(cluster, number), 60), f"job {number} is not done"
+        assert seen, "there was none of the kind"
+        cluster.state.late = lambda writes: 0.0
+        await asyncio.sleep(15)  # the last of them is carried out
+        assert all([await _done(cluster, number) for number in range(1, 8)])
+        assert not cluster.cloud.broken
+        assert _commanding(cluster) == [cluster.holder()]
+    finally:
+        await cluster.stop()
+
+
+def _commanding(cluster: Cluster) -> list[str]:
+    return [name for name, (node, _) in cluster.nodes.items() if node._keeper.dispatching()]
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_transaction_without_an_answer_is_carried_out_after_newer_ones(kind: str) -> None:
+    play(_late_transactions(kind))
