--- a/gingerspar/coordination/books/ledger.py
+++ b/gingerspar/coordination/books/ledger.py
@@ -230,6 +230,7 @@
     least_session: int = 0  # reports of earlier sessions are stale: their lease has run out
     answered: timedelta | None = None  # when the last report that got a 200 came in
     told: timedelta | None = None  # when it was first answered by this holder without showing its token since
+    shown: int = 0  # the last session in which it has shown this holder's token
     hearing: Hearing = field(init=False)
     rostered: bool = False
     notice: timedelta | None = None  # when the cloud takes it away
--- a/gingerspar/coordination/holder/dispatcher.py
+++ b/gingerspar/coordination/holder/dispatcher.py
@@ -175,6 +175,10 @@
             raise Stale
         if report.session < machine.least_session or (report.session, report.seq) <= (machine.session, machine.seq):
             raise Stale
+        if report.token < self.term and report.session == machine.shown:
+            # A worker forgets no token: it has ended, is back, and numbers its reports anew. What its former life
+            # sent and is still under way can't be told from what it says itself, so its lease is waited for.
+            raise Stale
         heard = self._heard(machine, report, now)
         machine.session, machine.seq = report.session, report.seq
         machine.address = report.address
@@ -191,6 +195,7 @@
                 machine.move(MachineState.UNSETTLED)
             return machine
         machine.told = None
+        machine.shown = report.session
         machine.answered = now
         if machine.state in (MachineState.BOOTING, MachineState.UNSETTLED, MachineState.LOST):
             log.info("machine %s %s -> ready", machine.name, machine.state.value)
