--- a/bench/acceptance.py
+++ b/bench/acceptance.py
@@ -117,7 +117,7 @@
 
 
 def judge_begins(found: Outcome, said: str) -> None:
-    """Reads the service's log: each job is told of once by each holder that it waits under."""
+    """Reads the service's log: each job is told of once by each leader that it waits under."""
     late = {job: (jobclass, size == "among") for job, jobclass, size in _UNBEGUN.findall(said)}
     found.unbegun = len(late)
     largest = Counter(jobclass for jobclass, largest in late.values() if largest)
--- a/bench/combinations.py
+++ b/bench/combinations.py
@@ -103,7 +103,7 @@
 
 
 def alone(log: str, events: list[dict[str, Any]], until: float) -> float:
-    """The longest time, after the first holder, in which no controller held a term that it could use."""
+    """The longest time, after the first leader, in which no controller held a term that it could use."""
     lines = [(float(found[1]), found[2], found[3]) for found in map(_LINE.match, log.splitlines()) if found]
     lines += [(event["at_s"], event["what"].partition(" ")[0], event["what"]) for event in events]
     holding: set[str] = set()
--- a/bench/holder_load.py
+++ b/bench/leader_load.py
@@ -1,11 +1,11 @@
-"""The holder alone under a load that is drawn: what its decisions cost as things grow.
+"""The leader alone under a load that is drawn: what its decisions cost as things grow.
 
 Everything runs in one process on a simulated clock, from a seed: machines report, start what they
 are told and end it; jobs come, also in bursts; part of the fleet may go away. Nothing here is a
 stand-in for the wire, so what is measured is the books, the placing and the planning.
 
-    python -m bench.holder_load --machines 600 --urgent 2 --routine 1 --minutes 4
-    python -m bench.holder_load --gone 0.5 --burst 3 --profile
+    python -m bench.leader_load --machines 600 --urgent 2 --routine 1 --minutes 4
+    python -m bench.leader_load --gone 0.5 --burst 3 --profile
 """
 
 import cProfile
@@ -21,7 +21,7 @@
 import msgspec
 
 from gingerspar.coordination.books.ledger import Machine, MachineState
-from gingerspar.coordination.holder.dispatcher import Dispatcher, Stale
+from gingerspar.coordination.leader.dispatcher import Dispatcher, Stale
 from gingerspar.coordination.machines import fleet
 from gingerspar.protocol.messages import (
     Cause,
@@ -63,14 +63,14 @@
 
 
 class Load:
-    """A holder, its machines and the jobs that come."""
+    """A leader, its machines and the jobs that come."""
 
     def __init__(self, machines: int, seed: int) -> None:
         self.random = random.Random(seed)
         self.now = timedelta(seconds=1)
         workers = WorkerFacts(report_s=2.5, lease_s=18, cancel_s=43, gang_wait_s=35, gang_peer_s=4)
-        self.holder = Dispatcher(1, timedelta(0), workers, [TeamFacts("red")], today=None)
-        self.holder.set_types(TYPES)
+        self.leader = Dispatcher(1, timedelta(0), workers, [TeamFacts("red")], today=None)
+        self.leader.set_types(TYPES)
         self.workers: dict[str, Worker] = {}
         self.specs: dict[str, JobSpec] = {}
         self.attempts: dict[str, int] = {}
@@ -85,9 +85,9 @@
             self._add(f"n-{number:06d}", "plain" if number % 3 else "cards", "ab"[number % 2], number % 4 == 0)
 
     def _add(self, name: str, kind: str, zone: str, spot: bool) -> None:
-        self.holder.book.add_machine(name, kind, zone, spot, self.now, MachineState.BOOTING)
+        self.leader.book.add_machine(name, kind, zone, spot, self.now, MachineState.BOOTING)
         report = Report(name, "10.0.0.9:1", kind, zone, 1, 1, 1, spot, None, msgspec.Raw(b"[]"))
-        machine = self.holder.report(report, self.now)
+        machine = self.leader.report(report, self.now)
         machine.enlist()
         self.workers[name] = Worker(machine)
         heapq.heappush(self._due, (self.now + REPORT * self.random.random(), name))
@@ -140,11 +140,11 @@
 
     def _record(self, spec: JobSpec, attempt: int) -> None:
         self.attempts[spec.job] = attempt
-        run = self.holder.runs.get(spec.job)
+        run = self.leader.runs.get(spec.job)
         finished = run.finished.copy() if run is not None else TaskSet(spec.tasks)
         order = float(spec.job[3:])
         record = JobRecord(spec, JobStatus.RUNNING, attempt, Claimant("n1", 1), order, 1, 1)
-        self.holder.set_record(spec.job, record, finished, self.now)
+        self.leader.set_record(spec.job, record, finished, self.now)
 
     # -- machines -------------------------------------------------------------
 
@@ -180,10 +180,10 @@
             msgspec.Raw(encode(listed)),
         )
         try:
-            machine = self.holder.report(report, self.now)
+            machine = self.leader.report(report, self.now)
         except Stale:
             return
-        for command in self.holder.commands(machine, report, self.now):
+        for command in self.leader.commands(machine, report, self.now):
             key = (command.task, command.attempt)
             if command.verb is Verb.RUN:
                 self._start(worker, key)
@@ -222,24 +222,24 @@
         began = time.process_time()
         if self.now >= self._ticked + TICK:
             self._ticked = self.now
-            self.holder.tick(self.now, self.now)
-        if self.holder.dirty:
-            self.holder.place(self.now)
+            self.leader.tick(self.now, self.now)
+        if self.leader.dirty:
+            self.leader.place(self.now)
         self._spent(began)
         self._books()
 
     def _books(self) -> None:
         """What claimants would write."""
-        for job, run in list(self.holder.book.unsaved.items()):
+        for job, run in list(self.leader.book.unsaved.items()):
             if run.finished.full:
-                self.holder.set_record(job, None, None, self.now)
-        for run in list(self.holder.backlog.lacking_attempt.values()):
+                self.leader.set_record(job, None, None, self.now)
+        for run in list(self.leader.backlog.lacking_attempt.values()):
             self._record(run.spec, run.record.attempt + 1)
 
     def plan(self) -> dict[object, int]:
         """What the fleet's planning costs; nothing is rented here."""
         began = time.process_time()
-        found = fleet.wanted(self.holder.book, fleet.Refusals(), self.now)
+        found = fleet.wanted(self.leader.book, fleet.Refusals(), self.now)
         self._spent(began)
         return dict(found)
 
@@ -280,14 +280,14 @@
             for job, came in load.came.items()
             if load.specs[job].priority is Priority.HIGH and came > load.now - timedelta(minutes=2)
         ) or [0.0]
-        backlog = load.holder.backlog.waiting.values()
+        backlog = load.leader.backlog.waiting.values()
         print(
             f"{minute + 1:6d} {load.deciding - spent:10.2f} {load.longest:14.3f} "
-            f"{load.holder.pool.looked_at - looks:8.0f} {len(backlog):8d} {sum(len(r.open) for r in backlog):8d} "
+            f"{load.leader.pool.looked_at - looks:8.0f} {len(backlog):8d} {sum(len(r.open) for r in backlog):8d} "
             f"{waits[len(waits) // 2]:10.1f} {waits[len(waits) * 95 // 100]:10.1f} "
             f"{resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024:8.0f}"
         )
-        spent, looks, load.longest = load.deciding, load.holder.pool.looked_at, 0.0
+        spent, looks, load.longest = load.deciding, load.leader.pool.looked_at, 0.0
     if profiler is not None:
         profiler.disable()
         pstats.Stats(profiler).sort_stats("tottime").print_stats(28)
--- a/gingerspar/cli.py
+++ b/gingerspar/cli.py
@@ -76,7 +76,7 @@
     async def main() -> None:
         await Controller(settings, own).run()
 
-    # tornado's streams on a loop in C: a busy holder goes through well over a thousand rounds a second.
+    # tornado's streams on a loop in C: a busy leader goes through well over a thousand rounds a second.
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(main())
 
--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -9,14 +9,14 @@
 import msgspec
 
 from gingerspar.coordination.books.turns import Turns
-from gingerspar.coordination.holder.command import CommandPost, longest_hold
-from gingerspar.coordination.holder.dispatcher import Dispatcher
-from gingerspar.coordination.holder.keeper import TermKeeper
-from gingerspar.coordination.holder.strain import Strain
 from gingerspar.coordination.jobs.claims import Claims
 from gingerspar.coordination.jobs.frontdoor import FrontDoor, problem
 from gingerspar.coordination.jobs.reconciler import Reconciler
 from gingerspar.coordination.jobs.relay import Relays
+from gingerspar.coordination.leader.command import CommandPost, longest_hold
+from gingerspar.coordination.leader.dispatcher import Dispatcher
+from gingerspar.coordination.leader.keeper import TermKeeper
+from gingerspar.coordination.leader.strain import Strain
 from gingerspar.coordination.machines.cloud import Cloud, CloudTrouble, NoCapacity
 from gingerspar.coordination.membership.reach import Prober, Reach
 from gingerspar.coordination.membership.session import Session
@@ -81,7 +81,7 @@
         self._news: dict[str, PeerNews] = {}
         self._visits = Visits()
         self._reach = Reach(self._visits)
-        self._sample: list[str] = []  # addresses of machines that the holder told of
+        self._sample: list[str] = []  # addresses of machines that the leader told of
         self._counts: dict[str, int] = {}
         self._led = asyncio.Event()  # what reports wait for that came while nobody commanded
         self._keeper = TermKeeper(
@@ -224,39 +224,39 @@
 
     def _commander(self) -> str | None:
         """Another node that seems to command the workers."""
-        holder = self._known_holder()
-        if holder is None or holder == self._node or not self._seems_alive(holder):
+        leader = self._known_leader()
+        if leader is None or leader == self._node or not self._seems_alive(leader):
             return None
         # One that has asked its machines in vain is replaced within a second or two: a worker sent there
         # would lose four seconds of its lease.
-        news = self._news.get(holder)
-        cut_off = news is not None and news.reaches is False and self._peer_heard(holder)
-        return None if cut_off else holder
+        news = self._news.get(leader)
+        cut_off = news is not None and news.reaches is False and self._peer_heard(leader)
+        return None if cut_off else leader
 
     def _steer(self) -> Answer:
         """What a worker is told by a node that may not command it: who may, if that is known."""
-        if self._post is not None and self._known_holder() == self._node:
+        if self._post is not None and self._known_leader() == self._node:
             return problem(503, "not entitled")
-        holder = self._commander()
-        return Answer(421, messages.encode(Steer() if holder is None else Steer(holder)))
+        leader = self._commander()
+        return Answer(421, messages.encode(Steer() if leader is None else Steer(leader)))
 
-    def _seems_alive(self, holder: str) -> bool:
+    def _seems_alive(self, leader: str) -> bool:
         """Heard, or, while connections between controllers are refused, in session."""
-        if self._peer_heard(holder):
+        if self._peer_heard(leader):
             return True
         term = self._view.term
-        if term is None or term[0].holder != holder or self._view.nodes.get(holder) != term[0].session:
+        if term is None or term[0].leader != leader or self._view.nodes.get(leader) != term[0].session:
             return False
-        return shows_itself(self._view.beats.get(holder), self._clock.now()) or self._visits.came(term[0].term) == 0
+        return shows_itself(self._view.beats.get(leader), self._clock.now()) or self._visits.came(term[0].term) == 0
 
-    def _known_holder(self) -> str | None:
-        """The newest holder that the view or a peer tells of."""
+    def _known_leader(self) -> str | None:
+        """The newest leader that the view or a peer tells of."""
         term = self._view.term
-        number, holder = (term[0].term, term[0].holder) if term is not None else (0, None)
+        number, leader = (term[0].term, term[0].leader) if term is not None else (0, None)
         for node, news in self._news.items():
             if news.dispatching and news.term > number:
-                number, holder = news.term, node
-        return holder
+                number, leader = news.term, node
+        return leader
 
     # -- term -----------------------------------------------------------------
 
@@ -312,8 +312,8 @@
             return False
         if self._post is not None:
             return True
-        holder = term[0].holder
-        return holder != self._node and self._link.up(holder) and self._peer_heard(holder)
+        leader = term[0].leader
+        return leader != self._node and self._link.up(leader) and self._peer_heard(leader)
 
     def _mend_links(self) -> None:
         """A connection may be lost without an error: then one side or the other hears nothing."""
@@ -418,10 +418,10 @@
 
     def _hand_over(self, job: str, version: int, record: JobRecord) -> None:
         term = self._view.term
-        if self._post is not None or term is None or term[0].holder == self._node:
-            return  # one that has just resigned is still the holder on record; the next one reads the record
+        if self._post is not None or term is None or term[0].leader == self._node:
+            return  # one that has just resigned is still the leader on record; the next one reads the record
         message = peers.Handover(self._node, term[0].term, records.job_key(job), version, records.pack(record))
-        self._link.send(term[0].holder, peers.pack(message))
+        self._link.send(term[0].leader, peers.pack(message))
 
     def _tell_cancelled(self, job: str, version: int, record: JobRecord) -> None:
         """To all peers: the one that commands may be without the state service, and another than this node knows of.
--- a/gingerspar/coordination/books/__init__.py
+++ b/gingerspar/coordination/books/__init__.py
@@ -1,1 +1,1 @@
-"""What the holder of the term knows: machines, runs and what each team uses."""
+"""What the leader of the term knows: machines, runs and what each team uses."""
--- a/gingerspar/coordination/books/book.py
+++ b/gingerspar/coordination/books/book.py
@@ -1,4 +1,4 @@
-"""The holder's books: machines, runs and what each team uses, kept in step.
+"""The leader's books: machines, runs and what each team uses, kept in step.
 
 Everything that changes what is where goes through here, so that the sums and the
 indexes that placing relies on follow each change at once.
@@ -241,7 +241,7 @@
 
     def done(self, run: JobRun, number: int) -> bool:
         """A task has completed; true if that is news."""
-        run.begun = True  # an older holder may have started it
+        run.begun = True  # an older leader may have started it
         # The tasks of a gang complete together: if one is done, all are.
         numbers = range(run.spec.tasks) if run.gangs else (number,)
         news = False
--- a/gingerspar/coordination/books/ledger.py
+++ b/gingerspar/coordination/books/ledger.py
@@ -16,7 +16,7 @@
     __hash__ = object.__hash__  # Enum's own hashes the name anew each time, some ten thousand times a second
 
     BOOTING = "booting"  # rented, no report yet
-    UNSETTLED = "unsettled"  # may run what an older holder started
+    UNSETTLED = "unsettled"  # may run what an older leader started
     READY = "ready"  # its reports tell all that is on it
     LEAVING = "leaving"  # takes no new task: spot notice, sick, or to be returned
     LOST = "lost"  # its lease has run out: nothing runs on it any more
@@ -229,8 +229,8 @@
     seq: int = 0
     least_session: int = 0  # reports of earlier sessions are stale: their lease has run out
     answered: timedelta | None = None  # when the last report that got a 200 came in
-    told: timedelta | None = None  # when it was first answered by this holder without showing its token since
-    shown: int = 0  # the last session in which it has shown this holder's token
+    told: timedelta | None = None  # when it was first answered by this leader without showing its token since
+    shown: int = 0  # the last session in which it has shown this leader's token
     hearing: Hearing = field(init=False)
     rostered: bool = False
     notice: timedelta | None = None  # when the cloud takes it away
--- a/gingerspar/coordination/books/pool.py
+++ b/gingerspar/coordination/books/pool.py
@@ -33,7 +33,7 @@
 
 @dataclass(slots=True)
 class Unsettled:
-    """Machines that may run what an older holder started."""
+    """Machines that may run what an older leader started."""
 
     names: set[str] = field(default_factory=set)
     unknown: int = 0  # of a type that is not known: counts as all there is
--- a/gingerspar/coordination/books/runs.py
+++ b/gingerspar/coordination/books/runs.py
@@ -1,4 +1,4 @@
-"""Unfinished jobs as the holder sees them, and the backlog of those that wait."""
+"""Unfinished jobs as the leader sees them, and the backlog of those that wait."""
 
 import math
 from collections.abc import Iterator
--- a/gingerspar/coordination/holder/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""What the holder of the term does: decides, commands, keeps the term or gives it up."""
--- a/gingerspar/coordination/jobs/claims.py
+++ b/gingerspar/coordination/jobs/claims.py
@@ -277,7 +277,7 @@
         nodes = sorted(self._view.nodes)
         for job in self._pending.values():
             entry = self._view.jobs[job]
-            # One that has waited long is claimed all the same, so that it can begin: the holder keeps the limit, task
+            # One that has waited long is claimed all the same, so that it can begin: the leader keeps the limit, task
             # by task. Large ones come last here, and waited for minutes while their team had all that it may have
             # claimed (kerlann-fonts-ops inc-e135).
             overdue = self._overdue(entry)
@@ -378,7 +378,7 @@
         session = self._session.condition()
         conditions = [session, *(KeyVersion(records.job_key(change.job), change.base) for change in batch)]
         if hand_over:
-            # A claim names the term it was made in: none is made for an older holder than
+            # A claim names the term it was made in: none is made for an older leader than
             # the record says, so `first_term` tells who may have started its tasks.
             conditions.append(KeyVersion(records.TERM, term[1]))
         puts: list[Put] = []
--- a/gingerspar/coordination/holder/command.py
+++ b/gingerspar/coordination/leader/command.py
@@ -1,4 +1,4 @@
-"""The term holder at work: carries the dispatcher's decisions in and out."""
+"""The term leader at work: carries the dispatcher's decisions in and out."""
 
 import asyncio
 import logging
@@ -12,9 +12,9 @@
 
 from gingerspar.coordination.books.ledger import Machine, MachineState, Placement
 from gingerspar.coordination.books.pool import Offer
-from gingerspar.coordination.holder.dispatcher import Dispatcher, Outdated, Stale
-from gingerspar.coordination.holder.strain import DECIDING, PLANNING, Strain
 from gingerspar.coordination.jobs.frontdoor import problem
+from gingerspar.coordination.leader.dispatcher import Dispatcher, Outdated, Stale
+from gingerspar.coordination.leader.strain import DECIDING, PLANNING, Strain
 from gingerspar.coordination.machines import fleet
 from gingerspar.coordination.machines.cloud import Cloud, CloudTrouble, NoCapacity, NotEntitled
 from gingerspar.coordination.machines.roster import Roster
@@ -53,7 +53,7 @@
 PASS_PAUSE_EACH = timedelta(milliseconds=0.2)  # ... with a large fleet so much for each machine, as more comes
 TELL_AFTER = timedelta(seconds=4)  # most machines come by themselves within it
 TELL_NOBODY = timedelta(seconds=2.2)  # ... and where none has after so long, another keeps them all. Those that give
-# a cut-off holder up come within some 2 s of its successor's raise: at 1.5 s, 364 were told in vain (inc-0dbb).
+# a cut-off leader up come within some 2 s of its successor's raise: at 1.5 s, 364 were told in vain (inc-0dbb).
 TELL_ROUNDS = 3
 TELL_AT_ONCE = 16
 TELL_PATIENCE = timedelta(seconds=0.7)
@@ -360,7 +360,7 @@
     async def _tell(self) -> None:
         """Tells machines of the new token that have not come by themselves.
 
-        An older holder without the state service and all other controllers goes on answering its
+        An older leader without the state service and all other controllers goes on answering its
         workers, and hears of its successor from nobody but them (docs/design.md, "Left with its workers alone").
         """
         await asyncio.sleep(TELL_NOBODY.total_seconds())
@@ -420,7 +420,7 @@
         """Whether the cloud may be asked to rent or to take back.
 
         A request can be held by a cut and carried out minutes later, when another node
-        commands. A holder cut off from everything saw all machines fall silent, asked the
+        commands. A leader cut off from everything saw all machines fall silent, asked the
         cloud again and again to take them back, and when the cut ended all of them went,
         with the work that its successor had kept running. So nothing is ordered unless
         the state service was read just now, which far outpaces the silence of a lease.
--- a/gingerspar/coordination/holder/dispatcher.py
+++ b/gingerspar/coordination/leader/dispatcher.py
@@ -1,4 +1,4 @@
-"""What the term holder learns and says: pure of input and output, driven by events.
+"""What the term leader learns and says: pure of input and output, driven by events.
 
 One ``Dispatcher`` lives as long as its term. Reports, records and the cloud's
 answers go in; commands, finishes and wishes come out.
@@ -125,7 +125,7 @@
             run = self.runs[job] = found
         run.record = record
         if record.claim_term < self.term:
-            # Claimed under an older holder, who may have started this attempt.
+            # Claimed under an older leader, who may have started this attempt.
             run.used_attempt = max(run.used_attempt, record.attempt)
         for number in finished.beyond(run.saved):
             run.finished.add(number)
@@ -164,10 +164,10 @@
         listed = report.listed() if machine is None or tasks != machine.tasks_seen else None
         if machine is None:
             if report.token >= self.term:
-                # It has heard of this term, so this holder knew it, and has given it back since: a copy.
+                # It has heard of this term, so this leader knew it, and has given it back since: a copy.
                 # The task that it shows would be taken to run there for the length of a lease.
                 raise Stale
-            # Unexpected, yet not on the roster: no older holder can have used it.
+            # Unexpected, yet not on the roster: no older leader can have used it.
             machine = self.book.add_machine(
                 report.machine, report.type, report.zone, report.spot, now, MachineState.BOOTING
             )
@@ -183,7 +183,7 @@
         machine.session, machine.seq = report.session, report.seq
         machine.address = report.address
         if report.token < self.term:
-            # It may yet take an older holder's answer; its next report tells what is on it. One that
+            # It may yet take an older leader's answer; its next report tells what is on it. One that
             # doesn't hear, or whose reports are late copies, would stay so for good, and all that may
             # run on it with it: it is told for a while only, and then its lease is waited for.
             if machine.told is None:
@@ -308,7 +308,7 @@
             placement.machine.remember_image(placement.spec.image, placement.spec.image_gb)
 
     def _adopt(self, machine: Machine, key: tuple[str, int, int], task: TaskReport, now: timedelta) -> None:
-        """A task that this holder didn't start: an older one did."""
+        """A task that this leader didn't start: an older one did."""
         job, number, attempt = key
         run = self.runs.get(job)
         if task.status is TaskStatus.EXITED:
@@ -507,7 +507,7 @@
         """Leases that ran out, notices that come due, gangs that came back incomplete.
 
         ``read``: when the last good read of the state service was sent. That a machine has been silent for its
-        lease proves that the lease is over only if nobody else has renewed it. A holder without the state service
+        lease proves that the lease is over only if nobody else has renewed it. A leader without the state service
         goes on for L while a successor may have all that it has lost: cut off together with one zone, it took the
         machines of the other for lost and started their tasks again, while they ran on under its successor.
         A read sent after the lease's end that shows this term still shows that there was no successor before.
@@ -600,7 +600,7 @@
         )
 
     def silent(self) -> list[Machine]:
-        """Machines that may run what an older holder started and have not been heard in this term."""
+        """Machines that may run what an older leader started and have not been heard in this term."""
         return [machine for machine in self.pool.among(MachineState.UNSETTLED) if machine.answered is None]
 
     def running_counts(self) -> dict[str, int]:
--- a/gingerspar/coordination/holder/keeper.py
+++ b/gingerspar/coordination/leader/keeper.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from gingerspar.coordination.holder.command import CommandPost
-from gingerspar.coordination.holder.dispatcher import Dispatcher
-from gingerspar.coordination.holder.strain import Strain
+from gingerspar.coordination.leader.command import CommandPost
+from gingerspar.coordination.leader.dispatcher import Dispatcher
+from gingerspar.coordination.leader.strain import Strain
 from gingerspar.coordination.membership.reach import Reach
 from gingerspar.coordination.membership.session import Session
 from gingerspar.coordination.membership.term import (
@@ -33,10 +33,10 @@
 
 log = logging.getLogger(__name__)
 
-BEAT = timedelta(seconds=2)  # of a holder that some peer can't hear, in the state service
+BEAT = timedelta(seconds=2)  # of a leader that some peer can't hear, in the state service
 TERM_CHECK = timedelta(milliseconds=100)
-QUIET = timedelta(seconds=1)  # a holder that hears no worker for so long asks whether it could
-MOST_DESERTERS = 4  # so many workers are enough to show that the holder doesn't answer
+QUIET = timedelta(seconds=1)  # a leader that hears no worker for so long asks whether it could
+MOST_DESERTERS = 4  # so many workers are enough to show that the leader doesn't answer
 
 
 class TermKeeper:
@@ -73,7 +73,7 @@
         self._started = clock.now()
         self._term_seen = self._started
         self._lonely_since: timedelta | None = None
-        self._cut_off: tuple[str, int, timedelta] | None = None  # holder, term, and since when it reaches no workers
+        self._cut_off: tuple[str, int, timedelta] | None = None  # leader, term, and since when it reaches no workers
         self._resigned_since = self._started
         self._own_term = 0  # the last one that this process held
         self._had_authority = False
@@ -120,7 +120,7 @@
             post.stop()
 
     def superseded(self) -> None:
-        """A worker has seen a higher token than this holder's.
+        """A worker has seen a higher token than this leader's.
 
         With fresh reads the state service tells of a higher term by itself, and a worker's word alone is not
         enough. Without them it may be the only one that tells.
@@ -135,43 +135,43 @@
         self._state = state
 
     def _term_resigned(self, record: TermRecord | None) -> bool:
-        return record is not None and record.holder == self._node and record.term == self._own_term
+        return record is not None and record.leader == self._node and record.term == self._own_term
 
-    def _lonely(self, holder: str | None) -> timedelta | None:
-        """Since when workers that hear have come here while the holder says that none reach it."""
-        news = self._news.get(holder) if holder is not None else None
+    def _lonely(self, leader: str | None) -> timedelta | None:
+        """Since when workers that hear have come here while the leader says that none reach it."""
+        news = self._news.get(leader) if leader is not None else None
         if (
             news is None
             or news.workers > 0
             or self._visits.answering(self._clock.now()) == 0
-            or not self._heard(holder or "")
+            or not self._heard(leader or "")
         ):
             self._lonely_since = None
         elif self._lonely_since is None:
             self._lonely_since = self._clock.now()
         return self._lonely_since
 
-    def _holder_cut_off(self, holder: str | None, term: int) -> timedelta | None:
-        """Since when the holder of this term has said that it reaches no workers."""
-        news = self._news.get(holder) if holder is not None else None
-        if holder is None or news is None or news.reaches is not False or news.term != term:
+    def _leader_cut_off(self, leader: str | None, term: int) -> timedelta | None:
+        """Since when the leader of this term has said that it reaches no workers."""
+        news = self._news.get(leader) if leader is not None else None
+        if leader is None or news is None or news.reaches is not False or news.term != term:
             self._cut_off = None
             return None
-        if self._cut_off is None or self._cut_off[:2] != (holder, term):
-            self._cut_off = (holder, term, self._clock.now())
+        if self._cut_off is None or self._cut_off[:2] != (leader, term):
+            self._cut_off = (leader, term, self._clock.now())
         return self._cut_off[2]
 
     def doubts(self) -> bool:
         """Whether it is worth asking machines if this node reaches them.
 
-        The holder does once it hears nothing, the others once there is something about the holder
+        The leader does once it hears nothing, the others once there is something about the leader
         that may make them take the term.
         """
         now = self._clock.now()
         if self.post is not None:
             return self._visits.last is None or now - self._visits.last > QUIET
         term = self._view.term
-        news = self._news.get(term[0].holder) if term is not None else None
+        news = self._news.get(term[0].leader) if term is not None else None
         if news is None or now - news.heard > SILENT:
             return True
         return news.state_age > FRESH or not news.dispatching or news.reaches is False or news.workers == 0
@@ -179,16 +179,16 @@
     def _knowledge(self) -> Knowledge:
         term = self._view.term
         record = term[0] if term is not None else None
-        holder = record.holder if record is not None else None
+        leader = record.leader if record is not None else None
         return Knowledge(
             now=self._clock.now(),
             node=self._node,
             state_age=self._view.age(),
             session_open=self._session.claimant is not None,
             term=record.term if record is not None else 0,
-            holder=holder,
-            holder_session_alive=record is not None and self._view.nodes.get(record.holder) == record.session,
-            holder_is_this_process=self.post is not None,
+            leader=leader,
+            leader_session_alive=record is not None and self._view.nodes.get(record.leader) == record.session,
+            leader_is_this_process=self.post is not None,
             resigned=self._term_resigned(record),
             resigned_since=self._resigned_since,
             workers=self._visits.workers(self._clock.now()),
@@ -198,16 +198,16 @@
             started=self._started,
             live_nodes=list(self._view.nodes),
             peers=self._news,
-            lonely_since=self._lonely(holder),
+            lonely_since=self._lonely(leader),
             fresh_since=self._fresh_since,
-            beat=self._view.beats.get(holder) if holder is not None else None,
+            beat=self._view.beats.get(leader) if leader is not None else None,
             reach=self._reach.look(self._clock.now()),
-            cut_off_since=self._holder_cut_off(holder, record.term if record is not None else 0),
-            link_up=holder in self._news and holder is not None and self._link.up(holder),
+            cut_off_since=self._leader_cut_off(leader, record.term if record is not None else 0),
+            link_up=leader in self._news and leader is not None and self._link.up(leader),
         )
 
     def _watch_authority(self) -> None:
-        """The end of a holder's authority is nobody's decision, so it is looked for; it may come back."""
+        """The end of a leader's authority is nobody's decision, so it is looked for; it may come back."""
         has = self.post is not None and self.authority()
         if self.post is not None and has != self._had_authority:
             log.info("term %d: authority %s", self.post.dispatcher.term, "is back" if has else "has run out")
@@ -233,9 +233,9 @@
                 await self._raise(why)
 
     def _show_life(self) -> None:
-        """While some peer can't hear the holder, it says by way of the state service that it is there.
+        """While some peer can't hear the leader, it says by way of the state service that it is there.
 
-        Otherwise nothing tells a holder that has lost the state service and all other controllers from one
+        Otherwise nothing tells a leader that has lost the state service and all other controllers from one
         that has lost the others only, until its session ends.
         """
         now = self._clock.now()
@@ -302,6 +302,6 @@
         )
         self.post = post = self._make_post(dispatcher)
         self._own_term = number
-        self._move(TermState.HOLDING)
+        self._move(TermState.LEADING)
         self._view.commands(True)
         post.start(self._types())
--- a/gingerspar/coordination/machines/cloud.py
+++ b/gingerspar/coordination/machines/cloud.py
@@ -26,7 +26,7 @@
 class Cloud:
     """Calls to the cloud. The dispatcher makes nearly all of them."""
 
-    SHARE = 0.7  # of the cloud's rate; the rest is for other nodes' catalogs and a former holder
+    SHARE = 0.7  # of the cloud's rate; the rest is for other nodes' catalogs and a former leader
 
     def __init__(self, address: str, clock: Clock, rps: float) -> None:
         self._client = Client(address, connect_timeout=timedelta(seconds=3))
--- a/gingerspar/coordination/machines/roster.py
+++ b/gingerspar/coordination/machines/roster.py
@@ -133,7 +133,7 @@
         term = self._view.term
         if term is None:
             return False
-        # Conditional on the term: a later holder reads a roster that only it adds to. And on
+        # Conditional on the term: a later leader reads a roster that only it adds to. And on
         # each group: a write without an answer that is applied late must not undo a later one.
         conditions = [self._session.condition(), KeyVersion(records.TERM, term[1])]
         known = self._view.roster
--- a/gingerspar/coordination/membership/reach.py
+++ b/gingerspar/coordination/membership/reach.py
@@ -1,10 +1,10 @@
 """Whether this node reaches the workers: what comes in shows it, and where nothing does, it asks.
 
-While the holder is well all workers report to it, and no other node can tell from what it
-hears whether it could command them. On kerlann-fonts-fleet the holder lost the state
+While the leader is well all workers report to it, and no other node can tell from what it
+hears whether it could command them. On kerlann-fonts-fleet the leader lost the state
 service, and a second later it and three others lost the workers; the term went to one of
 those, and the only node with all its links took it 22 s later, past the workers' lease.
-So a node that doubts the holder, or a holder that hears nothing, asks a few machines for
+So a node that doubts the leader, or a leader that hears nothing, asks a few machines for
 their status. It changes nothing there and renews no lease.
 """
 
@@ -107,7 +107,7 @@
         self._asking: dict[str, asyncio.Task[None]] = {}  # workers that came here
 
     def ask_visitors(self) -> None:
-        """Whether workers that came here hear is worth knowing before they count as having left the holder."""
+        """Whether workers that came here hear is worth knowing before they count as having left the leader."""
         if not self._wanted():
             return
         for machine, address in self._visits.unasked(MOST_ASKED):
--- a/gingerspar/coordination/membership/term.py
+++ b/gingerspar/coordination/membership/term.py
@@ -18,14 +18,14 @@
 
     FOLLOWING = "following"
     RAISING = "raising"
-    HOLDING = "holding"
+    LEADING = "leading"
 
 
 DRIFT = 0.0005  # steady clocks drift apart by at most this share (PROTOCOL)
 
 
 def authority_span(workers: WorkerFacts) -> timedelta:
-    """L: how long after *sending* its last good state read a holder may answer workers.
+    """L: how long after *sending* its last good state read a leader may answer workers.
 
     A cancellation committed just after that read must take effect within
     ``cancel``: the worker's last answered report is at most L later, and its lease
@@ -38,11 +38,11 @@
     return max(spare - margin, timedelta(0))
 
 
-READS_WITHIN = 2  # good reads that a holder should be able to send within L, as one may be late
+READS_WITHIN = 2  # good reads that a leader should be able to send within L, as one may be late
 
 
 def too_short_to_cancel(facts: Facts) -> str | None:
-    """What is wrong with ``cancel_s`` where a holder can't read the state service often enough for L; else None.
+    """What is wrong with ``cancel_s`` where a leader can't read the state service often enough for L; else None.
 
     Then machines are seldom answered in time and lose their leases, or have to be: no answer
     could be given without the risk that what it keeps alive has just been cancelled.
@@ -52,13 +52,13 @@
         return None
     return (
         f"facts.workers.cancel_s: {workers.cancel_s:g} is too close to lease_s, {workers.lease_s:g}: "
-        f"with this state service the holder reads it every {least.total_seconds() / READS_WITHIN:.2g} s, "
+        f"with this state service the leader reads it every {least.total_seconds() / READS_WITHIN:.2g} s, "
         "and answers to workers can't be kept fresh enough"
     )
 
 
 def settle_span(workers: WorkerFacts) -> timedelta:
-    """After a term change: until no machine can still run what an older holder started."""
+    """After a term change: until no machine can still run what an older leader started."""
     total = authority_span(workers) + workers.lease
     return total + total * (4 * DRIFT) + timedelta(seconds=0.5)
 
@@ -87,99 +87,99 @@
     state_age: timedelta  # of this node's view
     session_open: bool
     term: int  # 0: there is none
-    holder: str | None
-    holder_session_alive: bool
-    holder_is_this_process: bool
+    leader: str | None
+    leader_session_alive: bool
+    leader_is_this_process: bool
     workers: int  # reports that reached this node within the last seconds
-    deserters: int  # of these, workers that the current holder had: they have seen its token
+    deserters: int  # of these, workers that the current leader had: they have seen its token
     deserters_needed: int
     term_seen: timedelta  # when this node first saw the current term
     started: timedelta
     live_nodes: list[str] = field(default_factory=list)  # with an open session
     peers: dict[str, PeerNews] = field(default_factory=dict)
-    link_up: bool = False  # to the holder
+    link_up: bool = False  # to the leader
     resigned: bool = False  # this process held the current term and gave it up
     resigned_since: timedelta = timedelta(0)
-    lonely_since: timedelta | None = None  # since then workers come here and none to the holder
+    lonely_since: timedelta | None = None  # since then workers come here and none to the leader
     fresh_since: timedelta = timedelta(0)  # since then this node has read the state service without a gap
-    beat: timedelta | None = None  # when the holder's last sign of life in the state service was read
+    beat: timedelta | None = None  # when the leader's last sign of life in the state service was read
     reach: ReachState = ReachState.UNKNOWN  # whether this node reaches the workers
-    cut_off_since: timedelta | None = None  # since then the holder says that it does not
+    cut_off_since: timedelta | None = None  # since then the leader says that it does not
 
 
 FRESH = timedelta(seconds=1.5)
 SILENT = timedelta(seconds=1.2)
 # A state service that is merely slow must not move the term: with each change every machine is
-# unsettled for seconds, while a holder without reads goes on with the claims that its peers hand it
+# unsettled for seconds, while a leader without reads goes on with the claims that its peers hand it
 # (kerlann-fonts-fleet loss: two changes of term in a minute of slow answers).
-STALE_HOLDER = timedelta(seconds=4)
+STALE_LEADER = timedelta(seconds=4)
 REGAINED = timedelta(seconds=1.5)  # so long after an outage others may still be without
 NO_WORKERS = timedelta(seconds=5)
-NO_WORKERS_LEFT = timedelta(seconds=1)  # where those that come here are the holder's own
-NO_REACH = timedelta(seconds=0.5)  # after the holder has asked its machines in vain
+NO_WORKERS_LEFT = timedelta(seconds=1)  # where those that come here are the leader's own
+NO_REACH = timedelta(seconds=0.5)  # after the leader has asked its machines in vain
 BEAT_FRESH = timedelta(seconds=3.5)  # one sign of life, and the time to write and read it
-NO_BEAT = timedelta(seconds=6)  # three signs of life that a holder would have written in the state service
+NO_BEAT = timedelta(seconds=6)  # three signs of life that a leader would have written in the state service
 STAGGER = timedelta(milliseconds=500)
 SAME_AGE = timedelta(seconds=5)  # processes that began within it are taken to be as old
-SETTLING_IN = timedelta(seconds=4)  # a new holder gets this long before it is judged
+SETTLING_IN = timedelta(seconds=4)  # a new leader gets this long before it is judged
 
 
 def shows_itself(beat: timedelta | None, now: timedelta) -> bool:
-    """Whether a holder's last sign of life in the state service is fresh."""
+    """Whether a leader's last sign of life in the state service is fresh."""
     return beat is not None and now - beat <= BEAT_FRESH
 
 
 def reason_to_raise(k: Knowledge) -> str | None:
     """Why this node should take the term now, if it should."""
-    if k.holder_is_this_process or not k.session_open or k.state_age > FRESH:
+    if k.leader_is_this_process or not k.session_open or k.state_age > FRESH:
         return None
-    if k.term == 0 or k.holder is None:
-        return _in_turn(k, "there is no holder", k.started)
-    if k.holder == k.node and not k.resigned:
-        return "the holder was this node's former process"
-    if k.holder == k.node:
+    if k.term == 0 or k.leader is None:
+        return _in_turn(k, "there is no leader", k.started)
+    if k.leader == k.node and not k.resigned:
+        return "the leader was this node's former process"
+    if k.leader == k.node:
         # It resigned in favour of a peer; unless one follows, it takes the term again.
         return "no peer took the term" if k.now - k.resigned_since > SETTLING_IN else None
-    news = k.peers.get(k.holder)
+    news = k.peers.get(k.leader)
     silence = k.now - news.heard if news is not None else k.now - k.started
     silent = silence > SILENT
-    if not k.holder_session_alive and silent:
-        return _in_turn(k, "the holder's session is over", k.term_seen)
-    # It has asked its machines and this node has asked some too, so a new holder needs no time to
+    if not k.leader_session_alive and silent:
+        return _in_turn(k, "the leader's session is over", k.term_seen)
+    # It has asked its machines and this node has asked some too, so a new leader needs no time to
     # settle in: a wrong choice is put right within seconds, before the workers' leases run out.
     cut_off = k.now - k.cut_off_since if k.cut_off_since is not None else None
     if not silent and cut_off is not None and cut_off >= NO_REACH and k.reach is ReachState.REACHES:
-        return _in_turn(k, "the holder reaches no workers", k.now - cut_off + NO_REACH)
+        return _in_turn(k, "the leader reaches no workers", k.now - cut_off + NO_REACH)
     if k.now - k.term_seen < SETTLING_IN:
         return None
     if silent:
         # Connections between controllers alone may be refused, and the term must not go to and
-        # fro for that: only workers that the holder had show that it doesn't answer any more.
+        # fro for that: only workers that the leader had show that it doesn't answer any more.
         # New machines' first reports come here in any case.
         # Nor do they while it shows itself in the state service: they may be on their way to it from an older
-        # holder, told of its token (bench/days/workers-alone: a term of 4 s).
+        # leader, told of its token (bench/days/workers-alone: a term of 4 s).
         if k.deserters >= k.deserters_needed and not k.link_up and not shows_itself(k.beat, k.now):
-            return _in_turn(k, "the holder is silent and workers come here", k.now - silence + SILENT)
+            return _in_turn(k, "the leader is silent and workers come here", k.now - silence + SILENT)
         # It may have lost the state service as well and keep its workers: then nobody comes here.
         last = max(k.now - silence, k.term_seen, k.beat or k.started)
         if k.now - last > NO_BEAT:
-            return _in_turn(k, "the holder is silent, in the state service as well", last + NO_BEAT)
+            return _in_turn(k, "the leader is silent, in the state service as well", last + NO_BEAT)
         return None
     if news is None:
         return None
-    # After an outage some node reads first, and must not take the term from a holder that is about to read.
-    if news.state_age > STALE_HOLDER and k.now - k.fresh_since > REGAINED:
-        return _in_turn(k, "the holder has no state service", k.now - (news.state_age - STALE_HOLDER))
+    # After an outage some node reads first, and must not take the term from a leader that is about to read.
+    if news.state_age > STALE_LEADER and k.now - k.fresh_since > REGAINED:
+        return _in_turn(k, "the leader has no state service", k.now - (news.state_age - STALE_LEADER))
     if not news.dispatching and news.term >= k.term:
-        return _in_turn(k, "the holder gave up", k.now - silence)
+        return _in_turn(k, "the leader gave up", k.now - silence)
     # For a while, not at one moment: a first worker comes here before it is steered there.
-    # Workers that the holder had need less of it: when the holder is cut off from them and the state
+    # Workers that the leader had need less of it: when the leader is cut off from them and the state
     # service goes out some seconds later, there is no other chance to keep their tasks (combinations
     # 56 and 282: 98 of 117 tasks were killed by their leases).
     if k.lonely_since is not None:
         enough = NO_WORKERS_LEFT if k.deserters >= k.deserters_needed else NO_WORKERS
         if k.now - max(k.lonely_since, k.term_seen) > enough:
-            return _in_turn(k, "workers reach this node and not the holder", k.lonely_since + enough)
+            return _in_turn(k, "workers reach this node and not the leader", k.lonely_since + enough)
     return None
 
 
@@ -200,7 +200,7 @@
     begun may still end again and waits.
     """
 
-    others = sorted(set(k.live_nodes) - {k.holder})
+    others = sorted(set(k.live_nodes) - {k.leader})
     began = {node: k.peers[node].began for node in others if node in k.peers}
     known = {node: since for node, since in began.items() if since is not None and k.now - since >= SETTLING_IN}
     if known and k.now - k.started >= SETTLING_IN:
@@ -216,14 +216,14 @@
 
 
 def reason_to_resign(k: Knowledge) -> str | None:
-    """Why the holder should stop answering workers before its authority ends.
+    """Why the leader should stop answering workers before its authority ends.
 
-    Only once a peer commands in its place. A holder that had no state service used to stop as
+    Only once a peer commands in its place. A leader that had no state service used to stop as
     soon as a peer seemed to have it. When that peer lost it too, nobody was left to command
     until the service came back, and 1,387 of 1,869 running tasks were killed by their leases
     (bench/days/four-refused-then-outage-kerlann), though its authority had hardly begun to run out.
     """
-    if not k.holder_is_this_process:
+    if not k.leader_is_this_process:
         return None
     heard = {node: news for node, news in k.peers.items() if k.now - news.heard <= SILENT}
     if any(news.term > k.term and news.dispatching for news in heard.values()):
--- a/gingerspar/coordination/membership/visits.py
+++ b/gingerspar/coordination/membership/visits.py
@@ -14,7 +14,7 @@
 
     A report alone shows only that its sender was alive when it wrote it: it may be a copy that comes
     late, or come from a machine that no answer reaches and that goes round all controllers for good.
-    What is to show that the holder is gone is a worker that has come here and answers a question.
+    What is to show that the leader is gone is a worker that has come here and answers a question.
     """
 
     def __init__(self) -> None:
@@ -78,7 +78,7 @@
         return len(self._answered)
 
     def came(self, term: int) -> int:
-        """Workers that have come here although the holder of this term had them, whether they hear or not."""
+        """Workers that have come here although the leader of this term had them, whether they hear or not."""
         return sum(count for token, count in self._tokens.items() if token >= term)
 
     def deserters(self, term: int) -> int:
--- a/gingerspar/storage/records.py
+++ b/gingerspar/storage/records.py
@@ -163,7 +163,7 @@
     """Who commands the machines; ``term`` is the token that workers compare."""
 
     term: int
-    holder: str
+    leader: str = msgspec.field(name="holder")  # as it was stored from the first version on
     session: int
 
 
--- a/gingerspar/storage/view.py
+++ b/gingerspar/storage/view.py
@@ -168,7 +168,7 @@
         """All that is new, and when the read that brought it was sent.
 
         A service in trouble answers some requests late or never; a second read mostly comes
-        back at once. Waiting for the first alone made a holder give up its term (inc-8b9d).
+        back at once. Waiting for the first alone made a leader give up its term (inc-8b9d).
         """
         reads = {self._ask(): sent}
         try:
--- a/tests/standins/cloud.py
+++ b/tests/standins/cloud.py
@@ -158,7 +158,13 @@
             for each, other in members.items():
                 other.tasks[each]["Status"] = "running"
                 other.changed.set()
-                loop.call_later(self.jobs[name]["GuessS"], other.end_life, each, other.life, "done")
+            loop.call_later(self.jobs[name]["GuessS"], self._complete, members, dict(members))
+
+    def _complete(self, members: dict[tuple[str, int], Worker], began: dict[tuple[str, int], Worker]) -> None:
+        """They complete together, or not at all once one of them is gone."""
+        if members == began:
+            for each, worker in began.items():
+                worker.end(each, "done")
 
     def _incomplete(self, worker: Worker, key: tuple[str, int], life: int) -> None:
         task = worker.tasks.get(key)
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -138,7 +138,7 @@
         status, _ = await self.ask(name, "POST", "/v1/jobs", job(number))
         return status in (200, 201)
 
-    def holder(self) -> str | None:
+    def leader(self) -> str | None:
         record = self.state.keys.get("gs/term")
         return record[0]["holder"] if record is not None else None
 
--- a/tests/standins/troubles.py
+++ b/tests/standins/troubles.py
@@ -58,7 +58,7 @@
         await kind(span)
 
     def leader(self) -> str:
-        return self.cluster.holder() or NAMES[0]
+        return self.cluster.leader() or NAMES[0]
 
     def some_node(self) -> str:
         return self.leader() if self.random.random() < 0.5 else self.random.choice(NAMES)
--- a/tests/test_alone.py
+++ b/tests/test_alone.py
@@ -14,38 +14,38 @@
 
 
 async def running(cluster: Cluster) -> tuple[str, dict[str, int]]:
-    """The holder once a job runs, and the sessions of the workers that run it."""
+    """The leader once a job runs, and the sessions of the workers that run it."""
     assert await settle(lambda: cluster.accepts("n0", 1), 10), "no job was accepted"
     assert await settle(lambda: len(cluster.cloud.tasks()) == 3, 15), "the job did not start"
-    holder = cluster.holder()
-    assert holder is not None
-    return holder, {name: worker.session for name, worker in cluster.cloud.workers.items() if worker.tasks}
+    leader = cluster.leader()
+    assert leader is not None
+    return leader, {name: worker.session for name, worker in cluster.cloud.workers.items() if worker.tasks}
 
 
 async def _left_with_its_workers(*, ends: bool) -> None:
-    # The holder's authority lasts for 55 s: without being told it would keep its workers for as long.
+    # The leader's authority lasts for 55 s: without being told it would keep its workers for as long.
     cluster = Cluster(run_seconds=60, cancel_s=60)
     cluster.start()
     try:
-        holder, sessions = await running(cluster)
-        cluster.state.refused, cluster.apart = {holder}, {holder}
+        leader, sessions = await running(cluster)
+        cluster.state.refused, cluster.apart = {leader}, {leader}
         if ends:  # and is back at once: it has heard of no term then
             await asyncio.sleep(0.3)
-            await cluster.kill(holder)
-            cluster.start_node(holder)
-        others = [name for name in NAMES if name != holder]
-        assert await settle(lambda: cluster.holder() in others, 8), "nobody took the term"
-        successor = cluster.holder()
+            await cluster.kill(leader)
+            cluster.start_node(leader)
+        others = [name for name in NAMES if name != leader]
+        assert await settle(lambda: cluster.leader() in others, 8), "nobody took the term"
+        successor = cluster.leader()
         assert successor is not None
         assert await settle(lambda: _settled(cluster, successor, sessions), 8), "workers were kept"
 
-        # Work goes on: a new job starts while the former holder still hears nobody.
+        # Work goes on: a new job starts while the former leader still hears nobody.
         assert await cluster.accepts(successor, 2)
         assert await settle(lambda: len(cluster.cloud.tasks()) == 6, 10), "the second job did not start"
-        assert (await cluster.ask(holder, "GET", "/v1/jobs/wk-000001"))[0] == 503
+        assert (await cluster.ask(leader, "GET", "/v1/jobs/wk-000001"))[0] == 503
         cluster.state.refused, cluster.apart = set(), set()
         await asyncio.sleep(3)
-        assert cluster.holder() == successor, "the term went back"
+        assert cluster.leader() == successor, "the term went back"
         assert sessions.items() <= {name: w.session for name, w in cluster.cloud.workers.items()}.items()
         assert len(cluster.cloud.tasks()) == 6
         assert not cluster.cloud.broken
@@ -53,7 +53,7 @@
         await cluster.stop()
 
 
-def test_a_holder_without_state_service_and_peers_hands_its_workers_on() -> None:
+def test_a_leader_without_state_service_and_peers_hands_its_workers_on() -> None:
     asyncio.run(asyncio.wait_for(_left_with_its_workers(ends=False), 60))
 
 
@@ -65,31 +65,31 @@
     cluster = Cluster(run_seconds=60, cancel_s=60)
     cluster.start()
     try:
-        holder, sessions = await running(cluster)
-        cluster.apart = {holder}
+        leader, sessions = await running(cluster)
+        cluster.apart = {leader}
         await asyncio.sleep(NO_BEAT.total_seconds() + 2)
-        assert cluster.holder() == holder
-        assert _settled(cluster, holder, sessions)
+        assert cluster.leader() == leader
+        assert _settled(cluster, leader, sessions)
     finally:
         await cluster.stop()
 
 
-def test_a_holder_that_no_peer_hears_shows_itself_in_the_state_service() -> None:
+def test_a_leader_that_no_peer_hears_shows_itself_in_the_state_service() -> None:
     asyncio.run(asyncio.wait_for(_without_peers_only(), 60))
 
 
 async def _deaf() -> None:
-    """One of the machines hears nothing any more, while the holder's peers can't hear it either."""
+    """One of the machines hears nothing any more, while the leader's peers can't hear it either."""
     cluster = Cluster(run_seconds=3, cancel_s=60)
     cluster.start()
     try:
-        holder, sessions = await running(cluster)
+        leader, sessions = await running(cluster)
         deaf = next(iter(sessions))
         cluster.cloud.workers[deaf].deaf = True
-        cluster.apart = {holder}
+        cluster.apart = {leader}
         assert await settle(lambda: deaf not in cluster.cloud.workers, 25), "it was not given back"
-        assert cluster.holder() == holder, "its visits moved the term"
-        assert await settle(lambda: _done(cluster, holder), 15), "its tasks were not placed again"
+        assert cluster.leader() == leader, "its visits moved the term"
+        assert await settle(lambda: _done(cluster, leader), 15), "its tasks were not placed again"
         assert not cluster.cloud.broken
     finally:
         await cluster.stop()
--- a/tests/test_begin.py
+++ b/tests/test_begin.py
@@ -6,7 +6,7 @@
 
 from gingerspar.coordination.books.begin import BEGIN_BY, Largest
 from gingerspar.coordination.books.ledger import MachineState, TaskState
-from gingerspar.coordination.holder.dispatcher import Dispatcher
+from gingerspar.coordination.leader.dispatcher import Dispatcher
 from gingerspar.protocol.messages import JobSpec, JobStatus, MachineType, Priority, Shape
 from gingerspar.protocol.settings import TeamFacts, WorkerFacts
 from gingerspar.storage.records import Claimant, JobRecord, TaskSet
@@ -121,7 +121,7 @@
 
 
 def test_a_finish_that_no_record_shows_yet_is_a_beginning() -> None:
-    """flood-and-crash-kerlann: results queued behind a flood, and to the next holder jobs had not begun that had."""
+    """flood-and-crash-kerlann: results queued behind a flood, and to the next leader jobs had not begun that had."""
     rush = Rush()
     job = rush.come("bulk", Shape.ARRAY, Priority.LOW, 50, 1.0, 20.0)
     run = rush.dispatcher.runs[job]
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -1,4 +1,4 @@
-"""The term holder's dealings with the cloud while it may be cut off."""
+"""The term leader's dealings with the cloud while it may be cut off."""
 
 import asyncio
 from collections.abc import Callable
@@ -10,7 +10,7 @@
 
 from gingerspar.coordination.books.ledger import MachineState, Placement, TaskState
 from gingerspar.coordination.books.runs import JobRun
-from gingerspar.coordination.holder.command import (
+from gingerspar.coordination.leader.command import (
     HOLD_BUSY,
     HOLD_IDLE,
     HOLD_MOST,
@@ -19,8 +19,8 @@
     _hold_for,
     longest_hold,
 )
-from gingerspar.coordination.holder.dispatcher import Dispatcher
-from gingerspar.coordination.holder.strain import Strain, StrainState
+from gingerspar.coordination.leader.dispatcher import Dispatcher
+from gingerspar.coordination.leader.strain import Strain, StrainState
 from gingerspar.coordination.machines.cloud import Cloud, NotEntitled
 from gingerspar.protocol.messages import (
     JobSpec,
@@ -83,13 +83,13 @@
     return cloud
 
 
-def test_a_holder_that_may_be_cut_off_orders_nothing() -> None:
+def test_a_leader_that_may_be_cut_off_orders_nothing() -> None:
     """Found by bench/days/sick-and-cut: returns held by a cut took all machines minutes later."""
     cloud = asyncio.run(_orders([timedelta(seconds=5)]))
     assert (cloud.returned, cloud.rented) == ([], 0)
 
 
-def test_a_holder_with_fresh_state_orders() -> None:
+def test_a_leader_with_fresh_state_orders() -> None:
     cloud = asyncio.run(_orders([timedelta(seconds=0.1)]))
     assert (cloud.returned, cloud.rented) == (["n-1"], 1)
 
--- a/tests/test_elections.py
+++ b/tests/test_elections.py
@@ -19,9 +19,9 @@
 
 
 def _commanded(cluster: Cluster) -> bool:
-    """Exactly one controller commands, and it is the holder on record."""
+    """Exactly one controller commands, and it is the leader on record."""
     commanding = [name for name, (node, _) in cluster.nodes.items() if node._keeper.dispatching()]
-    return commanding == [cluster.holder()]
+    return commanding == [cluster.leader()]
 
 
 async def _back(cluster: Cluster, name: str) -> None:
@@ -32,7 +32,7 @@
 
 
 async def _the_one_that_raises_ends(*, late: bool, others: int, rounds: int) -> None:
-    """The holder ends; each of the next ``rounds`` to raise the term does so in the middle of it.
+    """The leader ends; each of the next ``rounds`` to raise the term does so in the middle of it.
 
     ``late``: its raise is carried out only once its next process is up; else at once, and the answer is lost.
     ``others``: so many more controllers end with it.
@@ -41,7 +41,7 @@
     cluster.start()
     ended: list[asyncio.Task[None]] = []
     try:
-        holder, sessions = await running(cluster)
+        leader, sessions = await running(cluster)
         before = _term(cluster)
 
         async def end(node: str, carry_out: Callable[[], Answer]) -> Answer:
@@ -61,7 +61,7 @@
                 carry_out()
 
         cluster.state.on_raise = end
-        await _back(cluster, holder)
+        await _back(cluster, leader)
         assert await settle(lambda: len(ended) == rounds, 8), "nobody tried to raise the term"
         await asyncio.gather(*ended)
         assert await settle(lambda: _commanded(cluster), 5), "nobody commands"
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -44,20 +44,20 @@
         assert await _status(cluster, "n2", 3) == "aborted"
         assert await settle(lambda: not cluster.cloud.tasks(), 5), "cancelled tasks stayed"
 
-        # The holder goes away while a job runs: the job is adopted, not run twice.
+        # The leader goes away while a job runs: the job is adopted, not run twice.
         cluster.cloud.run_seconds = 3
-        holder = cluster.holder()
-        assert holder is not None
-        others = [name for name in cluster.nodes if name != holder]
+        leader = cluster.leader()
+        assert leader is not None
+        others = [name for name in cluster.nodes if name != leader]
         assert (await cluster.ask(others[0], "POST", "/v1/jobs", job(4)))[0] == 201
         assert await settle(lambda: "wk-000004/0" in cluster.cloud.tasks(), 10), "the job did not start"
-        await cluster.kill(holder)
+        await cluster.kill(leader)
 
         async def fourth_done() -> bool:
             return await _status(cluster, others[1], 4) == "done"
 
-        assert await settle(fourth_done, 25), "the job did not survive its holder"
-        assert cluster.holder() != holder
+        assert await settle(fourth_done, 25), "the job did not survive its leader"
+        assert cluster.leader() != leader
 
         # An outage of the state service: no guess, and all goes on afterwards.
         cluster.state.down = True
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -157,7 +157,7 @@
     assert lives.write(lives.a, lives.result(lives.a, {1}))
     assert not lives.late(change)
     assert lives.seen() == ("running", 1)
-    # The holder tells of a finish until the record shows it.
+    # The leader tells of a finish until the record shows it.
     assert lives.write(lives.a, lives.result(lives.a, {0}))
     assert lives.seen() == ("done", 1)
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -9,9 +9,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from gingerspar.coordination.holder.command import CommandPost
-from gingerspar.coordination.holder.dispatcher import Dispatcher
-from gingerspar.coordination.holder.strain import Strain
+from gingerspar.coordination.leader.command import CommandPost
+from gingerspar.coordination.leader.dispatcher import Dispatcher
+from gingerspar.coordination.leader.strain import Strain
 from gingerspar.protocol import messages
 from gingerspar.protocol.messages import MachineType, Malformed, Report
 from gingerspar.protocol.settings import OperatorSettings, WorkerFacts
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -37,10 +37,10 @@
     return sum(task.startswith(job_name(number)) for task in cluster.cloud.tasks())
 
 
-def holder_and_others(cluster: Cluster) -> tuple[str, list[str]]:
-    holder = cluster.holder()
-    assert holder is not None
-    return holder, [name for name in NAMES if name != holder]
+def leader_and_others(cluster: Cluster) -> tuple[str, list[str]]:
+    leader = cluster.leader()
+    assert leader is not None
+    return leader, [name for name in NAMES if name != leader]
 
 
 # -- the state service refuses the leader alone, another controller cancels, then nobody has the state service -------
@@ -52,10 +52,10 @@
     span = authority_span(WorkerFacts(report_s=0.3, lease_s=LEASE, cancel_s=cancel_s)).total_seconds()
     try:
         for number in (1, 2):  # twice in a row, the second time perhaps with another leader
-            holder, others = holder_and_others(cluster)
+            leader, others = leader_and_others(cluster)
             for worker in cluster.cloud.workers.values():
                 worker.unordered = not direct
-            cluster.state.refused = {holder}
+            cluster.state.refused = {leader}
             cluster.apart = set() if links else set(NAMES)
             await asyncio.sleep(0.4)
             status, body = await cluster.ask(others[0], "POST", f"/v1/jobs/{job_name(number)}/abort", b"")
@@ -100,14 +100,14 @@
     # authority lasts for far longer than a lease.
     cluster = await started(60, jobs=1)
     try:
-        holder, others = holder_and_others(cluster)
+        leader, others = leader_and_others(cluster)
         inside, outside = sorted(
             (worker for worker in cluster.cloud.workers.values() if worker.tasks), key=lambda w: len(w.tasks)
         )
-        cluster.state.refused, cluster.apart = {holder}, {holder}
-        inside.reaches, outside.reaches = {holder}, set(others)
-        assert await settle(lambda: cluster.holder() in others, 20), "nobody took the term"
-        assert await settle(lambda: outside.node == cluster.holder(), 10), "its workers did not find it"
+        cluster.state.refused, cluster.apart = {leader}, {leader}
+        inside.reaches, outside.reaches = {leader}, set(others)
+        assert await settle(lambda: cluster.leader() in others, 20), "nobody took the term"
+        assert await settle(lambda: outside.node == cluster.leader(), 10), "its workers did not find it"
         await asyncio.sleep(3 * LEASE)  # silent to the leader in the zone for longer than a lease
         assert not cluster.broken
         assert outside.session == 1
@@ -133,18 +133,18 @@
     cluster = await started(12, jobs=2)
     clock = asyncio.get_running_loop().time
     try:
-        holder, others = holder_and_others(cluster)
-        cluster.state.refused, cluster.apart = {holder}, {holder}
+        leader, others = leader_and_others(cluster)
+        cluster.state.refused, cluster.apart = {leader}, {leader}
         cluster.cloud.out = True  # nor can the new one give them back: only their leases are left
         for worker in cluster.cloud.workers.values():
-            worker.reaches, worker.unordered = {holder}, True  # they can't be told of it either
-        assert await settle(lambda: cluster.holder() in others, 20), "nobody took the term"
+            worker.reaches, worker.unordered = {leader}, True  # they can't be told of it either
+        assert await settle(lambda: cluster.leader() in others, 20), "nobody took the term"
         status, body = await cluster.ask(others[0], "POST", "/v1/jobs/wk-000001/abort", b"")
         confirmed = clock()
         assert (status, body["Status"]) == (200, "aborted")
         while clock() < confirmed + 12:  # what its users are told there is never older than that
             for method, path in (("GET", "/v1/jobs/wk-000001"), ("POST", "/v1/jobs")):
-                status, _ = await cluster.ask(holder, method, path, job(1) if method == "POST" else None)
+                status, _ = await cluster.ask(leader, method, path, job(1) if method == "POST" else None)
                 assert status in (0, 503)
             await asyncio.sleep(0.5)
         assert cluster.cloud.gone["wk-000001"] - confirmed < 12
@@ -154,7 +154,7 @@
         for worker in cluster.cloud.workers.values():
             worker.reaches, worker.unordered = set(NAMES), False
         assert await settle(lambda: on_machines(cluster, 2) == 3, 30), "the other job did not go on"
-        assert (await cluster.ask(holder, "GET", "/v1/jobs/wk-000001"))[1]["Status"] == "aborted"
+        assert (await cluster.ask(leader, "GET", "/v1/jobs/wk-000001"))[1]["Status"] == "aborted"
         assert on_machines(cluster, 1) == 0
         assert not cluster.broken
     finally:
@@ -172,12 +172,12 @@
     """Long tasks on a machine that its successor's answers don't reach, or that can't be reached at all."""
     cluster = await started(12, jobs=2, spare=True)
     try:
-        holder, _ = holder_and_others(cluster)
+        leader, _ = leader_and_others(cluster)
         lost = next(worker for worker in cluster.cloud.workers.values() if worker.tasks)
         lost.deaf, lost.unordered, lost.reaches = deaf, True, set() if cut else set(NAMES)
-        await cluster.kill(holder)
+        await cluster.kill(leader)
         await asyncio.sleep(0.5)
-        cluster.start_node(holder)
+        cluster.start_node(leader)
         await asyncio.sleep(30)  # past its lease its work is done elsewhere
         assert len(cluster.cloud.tasks()) == 6
         lost.deaf, lost.unordered, lost.reaches = False, False, set(NAMES)
@@ -209,7 +209,7 @@
                 await cluster.kill(name)
                 await asyncio.sleep(0.2)
                 cluster.start_node(name)
-            assert await settle(lambda: cluster.holder() is not None, 10)
+            assert await settle(lambda: cluster.leader() is not None, 10)
         told = None
         while told != "done":
             await asyncio.sleep(0.5)
@@ -241,10 +241,10 @@
             cluster.start_node(name)
         for _ in range(4):
             await asyncio.sleep(5)
-            holder, _ = holder_and_others(cluster)
-            await cluster.kill(holder)
+            leader, _ = leader_and_others(cluster)
+            await cluster.kill(leader)
             await asyncio.sleep(0.6)
-            cluster.start_node(holder)
+            cluster.start_node(leader)
         await asyncio.sleep(10)
         assert sessions.items() <= {name: worker.session for name, worker in cluster.cloud.workers.items()}.items()
         assert len(cluster.cloud.tasks()) == 6
@@ -275,10 +275,10 @@
                 worker.answers_late = (lambda: next(late) * 1.3 % 6) if answers else (lambda: 0.0)
             await asyncio.sleep(5)
             if number in (3, 6):
-                holder, _ = holder_and_others(cluster)
-                await cluster.kill(holder)
+                leader, _ = leader_and_others(cluster)
+                await cluster.kill(leader)
                 await asyncio.sleep(0.3)
-                cluster.start_node(holder)
+                cluster.start_node(leader)
             if number in (4, 7):
                 assert await settle(lambda number=number: _cancelled(cluster, number), 20)
         cluster.cloud.again = lambda: 0.0
@@ -370,7 +370,7 @@
         await asyncio.sleep(15)  # the last of them is carried out
         assert all([await _done(cluster, number) for number in range(1, 8)])
         assert not cluster.broken
-        assert _commanding(cluster) == [cluster.holder()]
+        assert _commanding(cluster) == [cluster.leader()]
     finally:
         await cluster.stop()
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -6,7 +6,7 @@
 
 from gingerspar.coordination.books.ends import Spans
 from gingerspar.coordination.books.ledger import Machine, MachineState
-from gingerspar.coordination.holder.dispatcher import Dispatcher
+from gingerspar.coordination.leader.dispatcher import Dispatcher
 from gingerspar.coordination.machines.roster import plan_groups
 from gingerspar.coordination.placing import placer
 from gingerspar.protocol.messages import (
@@ -35,7 +35,7 @@
 
 
 class Fleet:
-    """A holder with several hundred machines that are up."""
+    """A leader with several hundred machines that are up."""
 
     def __init__(self, machines: int = MACHINES) -> None:
         self.now = NOW
@@ -270,7 +270,7 @@
 
 
 def test_a_finish_of_a_job_without_a_record_counts_once_the_record_is_there() -> None:
-    """A new holder finds it among what an older one started; its record comes a moment later."""
+    """A new leader finds it among what an older one started; its record comes a moment later."""
     fleet = Fleet(1)
     machine = next(iter(fleet.dispatcher.machines.values()))
     done = TaskReport("wk-000001/0", 1, TaskStatus.EXITED, Cause.DONE)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -6,7 +6,7 @@
 from gingerspar.coordination.books.runs import JobRun
 from gingerspar.coordination.books.service import SHARE, ServiceState
 from gingerspar.coordination.books.turns import PER_DOUBLING, Turns
-from gingerspar.coordination.holder.dispatcher import Dispatcher
+from gingerspar.coordination.leader.dispatcher import Dispatcher
 from gingerspar.protocol.messages import JobSpec, JobStatus, MachineType, Priority, Shape
 from gingerspar.protocol.settings import Objective, TeamFacts, WorkerFacts
 from gingerspar.storage.records import Claimant, JobRecord, TaskSet
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -25,16 +25,16 @@
 
 
 def knowledge(**changes: object) -> Knowledge:
-    """A follower n2 that hears the holder n1 well; all is as it should be."""
+    """A follower n2 that hears the leader n1 well; all is as it should be."""
     base: dict[str, object] = {
         "now": NOW,
         "node": "n2",
         "state_age": s(0.1),
         "session_open": True,
         "term": 4,
-        "holder": "n1",
-        "holder_session_alive": True,
-        "holder_is_this_process": False,
+        "leader": "n1",
+        "leader_session_alive": True,
+        "leader_is_this_process": False,
         "workers": 0,
         "deserters": 0,
         "deserters_needed": 3,
@@ -59,51 +59,51 @@
 
 CASES = {
     "all is well": ({}, False),
-    "nobody holds the term": ({"term": 0, "holder": None, "live_nodes": ["n2"]}, True),
-    "this node's former process held it": ({"holder": "n2", "peers": {}}, True),
-    "it is held here": ({"holder": "n2", "holder_is_this_process": True}, False),
-    "the holder is dead": ({"holder_session_alive": False, "peers": {"n1": news(age=7)}, "link_up": False}, True),
-    "the holder renews its session": ({"holder_session_alive": False}, False),
-    "the holder is silent, but its session lives and no worker comes here": (
+    "nobody holds the term": ({"term": 0, "leader": None, "live_nodes": ["n2"]}, True),
+    "this node's former process held it": ({"leader": "n2", "peers": {}}, True),
+    "it is held here": ({"leader": "n2", "leader_is_this_process": True}, False),
+    "the leader is dead": ({"leader_session_alive": False, "peers": {"n1": news(age=7)}, "link_up": False}, True),
+    "the leader renews its session": ({"leader_session_alive": False}, False),
+    "the leader is silent, but its session lives and no worker comes here": (
         {"peers": {"n1": news(age=5)}, "link_up": False},
         False,
     ),
-    "the holder is silent and its workers come here": (
+    "the leader is silent and its workers come here": (
         {"peers": {"n1": news(age=5)}, "link_up": False, "workers": 3, "deserters": 3},
         True,
     ),
-    # workers-alone: told of the new token, workers were on their way from the old holder to the new one.
-    "the holder is silent, workers come here, and it shows itself in the state service": (
+    # workers-alone: told of the new token, workers were on their way from the old leader to the new one.
+    "the leader is silent, workers come here, and it shows itself in the state service": (
         {"peers": {"n1": news(age=5)}, "link_up": False, "workers": 3, "deserters": 3, "beat": s(98)},
         False,
     ),
-    "the holder is silent, in the state service as well, and keeps its workers": (
+    "the leader is silent, in the state service as well, and keeps its workers": (
         {"peers": {"n1": news(age=7)}, "link_up": False, "beat": s(93)},
         True,
     ),
-    "the holder is silent on the links alone": (
+    "the leader is silent on the links alone": (
         {"peers": {"n1": news(age=50)}, "link_up": False, "beat": s(96)},
         False,
     ),
     # kerlann-fonts-grown apart: connections between controllers were refused, and each first report
     # of a new machine made another node take the term, every four seconds.
-    "the holder is silent and only new machines come here": (
+    "the leader is silent and only new machines come here": (
         {"peers": {"n1": news(age=5)}, "link_up": False, "workers": 3, "deserters": 0},
         False,
     ),
-    "the holder is silent and one of its workers has come here": (
+    "the leader is silent and one of its workers has come here": (
         {"peers": {"n1": news(age=5)}, "link_up": False, "workers": 3, "deserters": 1},
         False,
     ),
-    "the holder has lost the state service, this node has not": ({"peers": {"n1": news(state_age=6)}}, True),
+    "the leader has lost the state service, this node has not": ({"peers": {"n1": news(state_age=6)}}, True),
     # kerlann-fonts-fleet loss: slow answers alone moved the term twice, each time with all machines unsettled.
-    "the holder has had slow answers": ({"peers": {"n1": news(state_age=3.5)}}, False),
+    "the leader has had slow answers": ({"peers": {"n1": news(state_age=3.5)}}, False),
     # questions-while-silent: the term moved as an outage ended, by the node that happened to read first.
-    "an outage has just ended, the holder has not read yet": (
+    "an outage has just ended, the leader has not read yet": (
         {"peers": {"n1": news(state_age=16)}, "fresh_since": s(99)},
         False,
     ),
-    "an outage has ended, but not for the holder": ({"peers": {"n1": news(state_age=18)}, "fresh_since": s(98)}, True),
+    "an outage has ended, but not for the leader": ({"peers": {"n1": news(state_age=18)}, "fresh_since": s(98)}, True),
     "nobody has the state service": ({"peers": {"n1": news(state_age=6)}, "state_age": s(6)}, False),
     # A spurious change of term on a quiet day: one new worker came here first.
     "a first worker comes here just now": (
@@ -111,7 +111,7 @@
         False,
     ),
     # Combinations 56 and 282: the state service was gone before five seconds were over.
-    "workers that the holder had come here and none reach it": (
+    "workers that the leader had come here and none reach it": (
         {"peers": {"n1": news(workers=0)}, "workers": 4, "deserters": 3, "lonely_since": s(98.8)},
         True,
     ),
@@ -119,8 +119,8 @@
         {"peers": {"n1": news(workers=0)}, "workers": 4, "lonely_since": s(92)},
         True,
     ),
-    # one-has-every-link-kerlann: a new holder that no worker reached kept the term for 22 s.
-    "a new holder has asked its machines in vain, this node reaches some": (
+    # one-has-every-link-kerlann: a new leader that no worker reached kept the term for 22 s.
+    "a new leader has asked its machines in vain, this node reaches some": (
         {
             "term_seen": s(98.9),
             "cut_off_since": s(99.2),
@@ -129,11 +129,11 @@
         },
         True,
     ),
-    "the holder has only just found that it reaches none": (
+    "the leader has only just found that it reaches none": (
         {"cut_off_since": s(99.8), "reach": ReachState.REACHES, "peers": {"n1": news(workers=0, reaches=False)}},
         False,
     ),
-    "neither the holder nor this node reaches any": (
+    "neither the leader nor this node reaches any": (
         {"cut_off_since": s(92), "reach": ReachState.CUT_OFF, "peers": {"n1": news(workers=0, reaches=False)}},
         False,
     ),
@@ -147,7 +147,7 @@
 
 
 def test_nodes_try_one_after_the_other() -> None:
-    dead = {"holder_session_alive": False, "peers": {"n1": news(age=7)}, "term_seen": s(99.9)}
+    dead = {"leader_session_alive": False, "peers": {"n1": news(age=7)}, "term_seen": s(99.9)}
     assert reason_to_raise(knowledge(**dead, node="n2")) is not None
     assert reason_to_raise(knowledge(**dead, node="n3")) is None
 
@@ -186,7 +186,7 @@
 
 def test_the_node_that_was_restarted_last_takes_the_term() -> None:
     """kerlann-fonts-fleet restart: the term went to the node that was to be restarted next, four times."""
-    dead = {"holder_session_alive": False, "term_seen": s(99.9), "live_nodes": ["n1", "n2", "n3", "n4"]}
+    dead = {"leader_session_alive": False, "term_seen": s(99.9), "live_nodes": ["n1", "n2", "n3", "n4"]}
 
     def takes(node: str, began: dict[str, float]) -> bool:
         peers = {"n1": news(age=7)}
@@ -225,13 +225,13 @@
     assert "facts.workers.cancel_s" in (verdict(18.5, rps=30, size=7) or "")
 
 
-def test_a_holder_stops_only_when_a_peer_commands_in_its_place() -> None:
-    """kerlann-fonts' rough day: a holder without state kept all workers for 22 s, away from its successor.
+def test_a_leader_stops_only_when_a_peer_commands_in_its_place() -> None:
+    """kerlann-fonts' rough day: a leader without state kept all workers for 22 s, away from its successor.
 
     And kerlann-fonts-fleet loss: one that stopped before it had a successor left them with nobody, as the
     peer that was to follow lost the state service as well.
     """
-    here: dict[str, object] = {"holder": "n2", "holder_is_this_process": True}
+    here: dict[str, object] = {"leader": "n2", "leader_is_this_process": True}
     peer = PeerNews(NOW - s(0.2), 4, False, s(0.1), 0)
     long_lost_peer = PeerNews(NOW - s(0.2), 5, False, s(5), 0)
     successor = PeerNews(NOW - s(0.2), 5, True, s(0.1), 3)
--- a/tests/test_two_troubles.py
+++ b/tests/test_two_troubles.py
@@ -12,19 +12,19 @@
     try:
         assert await settle(lambda: cluster.accepts("n0", 1), 10), "no job was accepted"
         assert await settle(lambda: len(cluster.cloud.tasks()) == 3, 15), "the job did not start"
-        holder = cluster.holder()
-        assert holder is not None
+        leader = cluster.leader()
+        assert leader is not None
         sessions = {name: worker.session for name, worker in cluster.cloud.workers.items() if worker.tasks}
 
         # All but one controller lose the state service; a second later it is gone for that one too.
-        last = next(name for name in NAMES if name != holder)
+        last = next(name for name in NAMES if name != leader)
         cluster.state.refused = set(NAMES) - {last}
         await asyncio.sleep(1)
         cluster.state.down = True
-        await asyncio.sleep(5.5)  # longer than a lease; the holder's authority lasts for 7 s
-        assert cluster.holder() == holder
+        await asyncio.sleep(5.5)  # longer than a lease; the leader's authority lasts for 7 s
+        assert cluster.leader() == leader
         cluster.state.down = False
-        assert await settle(lambda: cluster.holder() == last, 10), "nobody took the term"
+        assert await settle(lambda: cluster.leader() == last, 10), "nobody took the term"
 
         # The successor finds all of it running, and its workers have never been without a commander.
         await asyncio.sleep(3)
@@ -38,5 +38,5 @@
 
 
 def test_all_but_one_lose_the_state_service_and_then_it_is_out() -> None:
-    """kerlann-fonts-fleet loss: the holder gave up for a peer that had lost the service as well."""
+    """kerlann-fonts-fleet loss: the leader gave up for a peer that had lost the service as well."""
     asyncio.run(asyncio.wait_for(_four_refused_then_outage(), 60))
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -43,7 +43,7 @@
 
 
 def test_a_late_read_is_sent_again() -> None:
-    """inc-8b9d: reads that took over a second made the holder's view too old, and it gave up its term."""
+    """inc-8b9d: reads that took over a second made the leader's view too old, and it gave up its term."""
     sent, there, asked = asyncio.run(_read(_Client(30.0, 0.01)))
     assert asked == 2
     assert sent == pytest.approx(ASK_AGAIN.total_seconds(), abs=0.1)  # not the time of the first one
