--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Awaitable, Coroutine
 from datetime import timedelta
 from typing import Any
@@ -49,12 +50,19 @@
 class Controller:
     """One node."""
 
-    def __init__(self, settings: Settings, operator: OperatorSettings, clock: Clock | None = None) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        operator: OperatorSettings,
+        clock: Clock | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
         facts = settings.facts
         self._settings = settings
         self._facts = facts
         self._operator = operator
         self._clock = clock or Clock()
+        self._random = rng or random.Random()
         self._node = settings.node
         teams = {team.name: team for team in facts.teams}
         self._client = StateClient(
@@ -98,7 +106,9 @@
             self._strain,
         )
         self._keeper.use(self._peer_heard, lambda: self._types, self._make_post)
-        self._prober = Prober(self._reach, self._visits, self._clock, self._keeper.doubts, self._machines_to_ask)
+        self._prober = Prober(
+            self._reach, self._visits, self._clock, self._keeper.doubts, self._machines_to_ask, self._random
+        )
         self._reconciler = Reconciler(
             self._client, self._view, self._session, self._keeper.dispatching, operator.sweep_batch
         )
@@ -277,6 +287,7 @@
             self._steer,
             self._keeper.superseded,
             self._strain,
+            self._random,
         )
 
     def _term_changed(self) -> None:
--- a/gingerspar/coordination/leader/command.py
+++ b/gingerspar/coordination/leader/command.py
@@ -131,6 +131,7 @@
         steer: Callable[[], Answer],
         superseded: Callable[[], None],
         strain: Strain,
+        rng: random.Random,
     ) -> None:
         self.dispatcher = dispatcher
         self._node = node
@@ -151,12 +152,12 @@
         self._holds: dict[str, Hold] = {}  # by machine
         self._due: list[tuple[timedelta, int, Hold]] = []  # a heap of the same and of some that have left
         self._order = count()
-        self._woken: set[str] = set()  # machines that commands wait for
+        self._woken: dict[str, None] = {}  # machines that commands wait for, in order
         self._work = asyncio.Event()
         self._refusals = fleet.Refusals()
         self._spare = fleet.Spare()
         self._rentals = 0
-        self._random = random.Random()
+        self._random = rng
         self._said = clock.now()
         self._renting: set[Offer] = set()
         self._retired: dict[str, timedelta] = {}  # given back: lists may show them for a while
@@ -225,7 +226,7 @@
         self._work.set()
 
     def _wake_machine(self, machine: Machine) -> None:
-        self._woken.add(machine.name)
+        self._woken[machine.name] = None
 
     # -- reports --------------------------------------------------------------
 
@@ -270,7 +271,7 @@
         self._holds[machine.name] = hold
         heappush(self._due, (due, next(self._order), hold))
         if self.dispatcher.has_commands(machine):
-            self._woken.add(machine.name)  # it leaves after the pass that is due
+            self._woken[machine.name] = None  # it leaves after the pass that is due
         return hold.answer
 
     def _release(self, hold: Hold) -> None:
@@ -291,7 +292,7 @@
 
     def _release_holds(self) -> None:
         """Lets go the answers that commands wait for, and those whose time is over."""
-        woken, self._woken = self._woken, set()
+        woken, self._woken = self._woken, {}
         for name in woken:
             hold = self._holds.get(name)
             if hold is not None:
--- a/gingerspar/coordination/membership/reach.py
+++ b/gingerspar/coordination/membership/reach.py
@@ -97,13 +97,14 @@
         clock: Clock,
         wanted: Callable[[], bool],
         addresses: Callable[[], Sequence[str]],
+        rng: random.Random,
     ) -> None:
         self._reach = reach
         self._visits = visits
         self._clock = clock
         self._wanted = wanted
         self._addresses = addresses
-        self._random = random.Random()
+        self._random = rng
         self._asking: dict[str, asyncio.Task[None]] = {}  # workers that came here
 
     def ask_visitors(self) -> None:
