--- a/tests/standins/troubles.py
+++ b/tests/standins/troubles.py
@@ -154,20 +154,18 @@
             worker.reaches = set(NAMES)
 
     async def deaf(self, span: float) -> None:
-        workers = self.some_workers()
-        for worker in workers:
-            worker.deaf = True
-        await asyncio.sleep(span)
-        for worker in workers:
-            worker.deaf = False
+        await self._are("deaf", span)
 
     async def unordered(self, span: float) -> None:
+        await self._are("unordered", span)
+
+    async def _are(self, what: str, span: float) -> None:
         workers = self.some_workers()
         for worker in workers:
-            worker.unordered = True
+            setattr(worker, what, True)
         await asyncio.sleep(span)
         for worker in workers:
-            worker.unordered = False
+            setattr(worker, what, False)
 
     async def machine_begins_again(self, span: float) -> None:
         for worker in self.some_workers():
