Reread: one way to build a stop, a handover and an ended controller; a machine says itself that it is settled

The direct and the answered stop built the same command, claims and cancellations the same message, six places asked for the same two states, and four for a controller that ends and is back. No behaviour changes.

--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -431,17 +431,18 @@
         term = self._view.term
         if self._post is not None or term is None or term[0].leader == self._node:
             return  # one that has just resigned is still the leader on record; the next one reads the record
-        message = peers.Handover(self._node, term[0].term, records.job_key(job), version, records.pack(record))
-        self._link.send(term[0].leader, peers.pack(message))
+        self._link.send(term[0].leader, self._handover(job, version, record))
+
+    def _handover(self, job: str, version: int, record: JobRecord) -> bytes:
+        term = self._view.term[0].term if self._view.term is not None else 0
+        return peers.pack(peers.Handover(self._node, term, records.job_key(job), version, records.pack(record)))
 
     def _tell_cancelled(self, job: str, version: int, record: JobRecord) -> None:
         """To all peers: the one that commands may be without the state service, and another than this node knows of.
 
         It stops the tasks at once. Where it doesn't hear of it, they end with its authority and the workers' leases.
         """
-        term = self._view.term[0].term if self._view.term is not None else 0
-        message = peers.Handover(self._node, term, records.job_key(job), version, records.pack(record))
-        self._link.broadcast(peers.pack(message))
+        self._link.broadcast(self._handover(job, version, record))
 
     def _tell_finished(self, node: str, jobs: dict[str, list[int]]) -> None:
         if node == self._node:
--- a/gingerspar/coordination/books/ledger.py
+++ b/gingerspar/coordination/books/ledger.py
@@ -262,6 +262,11 @@
         self.state = state
         self.changed(self, True)
 
+    @property
+    def settled(self) -> bool:
+        """Its reports tell all that is on it, and it is given commands."""
+        return self.state is MachineState.READY or self.state is MachineState.LEAVING
+
     def judge(self, heard: bool) -> None:
         """Its report shows whether the answer before has reached it."""
         before = self.hearing.hears
--- a/gingerspar/coordination/leader/command.py
+++ b/gingerspar/coordination/leader/command.py
@@ -243,8 +243,7 @@
             return self._steer()
         if self.dispatcher.dirty:
             self._work.set()
-        settled = report.token >= self.dispatcher.term
-        if settled and machine.state in (MachineState.READY, MachineState.LEAVING):
+        if report.token >= self.dispatcher.term and machine.settled:
             if not machine.rostered:
                 self._roster.reported(machine)
             if self.dispatcher.dirty or not self.dispatcher.has_commands(machine):
@@ -280,8 +279,7 @@
             del self._holds[machine.name]
         if hold.answer.done():
             return
-        settled = machine.state in (MachineState.READY, MachineState.LEAVING)
-        if not settled or (machine.session, machine.seq) != (report.session, report.seq):
+        if not machine.settled or (machine.session, machine.seq) != (report.session, report.seq):
             # Newer news have come, or what this report showed does not hold any more: no lease is renewed for it.
             hold.answer.set_result(Answer(503, b'{"error":"late"}'))
             return
@@ -333,8 +331,7 @@
     def _stop_directly(self) -> None:
         stopping = self.dispatcher.stopping
         for name, machine in list(stopping.items()):
-            known = machine.state in (MachineState.READY, MachineState.LEAVING) and machine.address
-            if not known or name in self._holds:
+            if not (machine.settled and machine.address) or name in self._holds:
                 del stopping[name]  # an answer that is held back takes them along at once
                 continue
             if not self._authority():
--- a/gingerspar/coordination/leader/dispatcher.py
+++ b/gingerspar/coordination/leader/dispatcher.py
@@ -420,7 +420,7 @@
     # -- commands -------------------------------------------------------------
 
     def has_commands(self, machine: Machine) -> bool:
-        if machine.state not in (MachineState.READY, MachineState.LEAVING):
+        if not machine.settled:
             return False
         return any(
             placement.state is TaskState.PLANNED or (placement.stop is not None and not placement.stop_sent)
@@ -440,8 +440,7 @@
                 continue
             if placement.state not in (TaskState.PLANNED, TaskState.SENT):
                 placement.told_directly = placement.stop
-                grace = placement.stop.total_seconds()
-                found.append(Command(Verb.STOP, placement.name, placement.attempt, grace))
+                found.append(_stop(placement))
         return found
 
     def commands(self, machine: Machine, report: Report, now: timedelta) -> list[Command]:
@@ -452,11 +451,11 @@
         """
         if report.token < self.term:
             return self._stops_of_what_is_over(report)
-        if machine.state not in (MachineState.READY, MachineState.LEAVING):
+        if not machine.settled:
             return []
         stopping = [p for p in machine.live.values() if p.stop is not None and p.state is not TaskState.PLANNED]
         over = [placement for placement in stopping if self.runs[placement.job].over]
-        found = [self._stop(placement) for placement in over[:MOST_COMMANDS]]
+        found = [self._answer_stop(placement) for placement in over[:MOST_COMMANDS]]
         for (job, number, attempt), cause in machine.exited.items():
             run = self.runs.get(job)
             keep = cause is Cause.DONE and run is not None and not run.over and number in run.unsaved
@@ -472,14 +471,13 @@
                 log.debug("run %s attempt %d on %s", placement.name, placement.attempt, machine.name)
                 found.append(Command(Verb.RUN, placement.name, placement.attempt))
             elif placement.stop is not None and placement not in over:
-                found.append(self._stop(placement))
+                found.append(self._answer_stop(placement))
         return found
 
     @staticmethod
-    def _stop(placement: Placement) -> Command:
-        assert placement.stop is not None
+    def _answer_stop(placement: Placement) -> Command:
         placement.stop_sent = True
-        return Command(Verb.STOP, placement.name, placement.attempt, placement.stop.total_seconds())
+        return _stop(placement)
 
     def _stops_of_what_is_over(self, report: Report) -> list[Command]:
         """For a worker that is told of the token: what it lists may yet change, but not that its job is over."""
@@ -611,6 +609,11 @@
         return run.running if run is not None and not run.over else 0
 
 
+def _stop(placement: Placement) -> Command:
+    assert placement.stop is not None
+    return Command(Verb.STOP, placement.name, placement.attempt, placement.stop.total_seconds())
+
+
 def _place(offer: Iterable[object]) -> str:
     kind, zone, spot = offer
     return f"{kind}/{zone}/{'spot' if spot else 'ordinary'}"
--- a/gingerspar/coordination/machines/roster.py
+++ b/gingerspar/coordination/machines/roster.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
-from gingerspar.coordination.books.ledger import Machine, MachineState
+from gingerspar.coordination.books.ledger import Machine
 from gingerspar.coordination.books.pool import Offer
 from gingerspar.coordination.membership.session import Session
 from gingerspar.protocol.messages import KeyVersion, Put, Transaction
@@ -96,7 +96,7 @@
             return
         listed = {name for record, _ in self._view.roster.values() for name in record.names}
         for name, machine in list(self._new.items()):
-            if machine.state not in (MachineState.READY, MachineState.LEAVING):
+            if not machine.settled:
                 del self._new[name]  # it has gone; if it comes back, it reports again
             elif name in listed:
                 del self._new[name]  # a write without an answer has been applied
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -116,6 +116,16 @@
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
 
+    async def restart(self, name: str, back: float) -> None:
+        """The node ends, unless it is down already, and is back after so many seconds."""
+        if name in self.nodes:
+            await self.kill(name)
+            await asyncio.sleep(back)
+            self.start_node(name)
+
+    def commanding(self) -> list[str]:
+        return [name for name, (node, _) in self.nodes.items() if node._keeper.dispatching()]
+
     async def stop(self) -> None:
         for name in list(self.nodes):
             await self.kill(name)
--- a/tests/standins/troubles.py
+++ b/tests/standins/troubles.py
@@ -70,23 +70,19 @@
 
     # -- controllers and the state service ------------------------------------
 
-    async def _end(self, name: str, back: float) -> None:
-        if name in self.cluster.nodes:
-            await self.cluster.kill(name)
-            await asyncio.sleep(back)
-            self.cluster.start_node(name)
-
     async def ends(self, span: float) -> None:
         """Once or again and again; a controller is back within a fraction of a second or after a while."""
         until = asyncio.get_running_loop().time() + span
         while True:
-            await self._end(self.some_node(), self.random.choice([self.random.uniform(0.1, 0.9), 3.0]))
+            await self.cluster.restart(self.some_node(), self.random.choice([self.random.uniform(0.1, 0.9), 3.0]))
             if asyncio.get_running_loop().time() > until:
                 return
             await asyncio.sleep(self.random.uniform(0.2, 3))
 
     async def all_end(self, span: float) -> None:
-        await asyncio.gather(*(self._end(name, self.random.uniform(0.1, min(span, 5) + 0.2)) for name in NAMES))
+        await asyncio.gather(
+            *(self.cluster.restart(name, self.random.uniform(0.1, min(span, 5) + 0.2)) for name in NAMES)
+        )
 
     async def refused(self, span: float) -> None:
         await self._refused({name for name in NAMES if self.random.random() < 0.5}, span)
--- a/tests/test_elections.py
+++ b/tests/test_elections.py
@@ -20,15 +20,7 @@
 
 def _commanded(cluster: Cluster) -> bool:
     """Exactly one controller commands, and it is the leader on record."""
-    commanding = [name for name, (node, _) in cluster.nodes.items() if node._keeper.dispatching()]
-    return commanding == [cluster.leader()]
-
-
-async def _back(cluster: Cluster, name: str) -> None:
-    if name in cluster.nodes:
-        await cluster.kill(name)
-        await asyncio.sleep(BACK)
-        cluster.start_node(name)
+    return cluster.commanding() == [cluster.leader()]
 
 
 async def _the_one_that_raises_ends(*, late: bool, others: int, rounds: int) -> None:
@@ -56,12 +48,12 @@
             return answer(503, {})
 
         async def _end(node: str, with_it: list[str], carry_out: Callable[[], Answer]) -> None:
-            await asyncio.gather(*(_back(cluster, name) for name in (node, *with_it)))
+            await asyncio.gather(*(cluster.restart(name, BACK) for name in (node, *with_it)))
             if late:
                 carry_out()
 
         cluster.state.on_raise = end
-        await _back(cluster, leader)
+        await cluster.restart(leader, BACK)
         assert await settle(lambda: len(ended) == rounds, 8), "nobody tried to raise the term"
         await asyncio.gather(*ended)
         assert await settle(lambda: _commanded(cluster), 5), "nobody commands"
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -175,9 +175,7 @@
         leader, _ = leader_and_others(cluster)
         lost = next(worker for worker in cluster.cloud.workers.values() if worker.tasks)
         lost.deaf, lost.unordered, lost.reaches = deaf, True, set() if cut else set(NAMES)
-        await cluster.kill(leader)
-        await asyncio.sleep(0.5)
-        cluster.start_node(leader)
+        await cluster.restart(leader, 0.5)
         await asyncio.sleep(30)  # past its lease its work is done elsewhere
         assert len(cluster.cloud.tasks()) == 6
         lost.deaf, lost.unordered, lost.reaches = False, False, set(NAMES)
@@ -206,9 +204,7 @@
             assert await settle(lambda done=done: len(cluster.cloud.done.get("wk-000001", ())) > done, 30)
             await asyncio.sleep(1)  # it is reported, and waits for others of its job before it is in the record
             for name in NAMES:
-                await cluster.kill(name)
-                await asyncio.sleep(0.2)
-                cluster.start_node(name)
+                await cluster.restart(name, 0.2)
             assert await settle(lambda: cluster.leader() is not None, 10)
         told = None
         while told != "done":
@@ -242,9 +238,7 @@
         for _ in range(4):
             await asyncio.sleep(5)
             leader, _ = leader_and_others(cluster)
-            await cluster.kill(leader)
-            await asyncio.sleep(0.6)
-            cluster.start_node(leader)
+            await cluster.restart(leader, 0.6)
         await asyncio.sleep(10)
         assert sessions.items() <= {name: worker.session for name, worker in cluster.cloud.workers.items()}.items()
         assert len(cluster.cloud.tasks()) == 6
@@ -276,9 +270,7 @@
             await asyncio.sleep(5)
             if number in (3, 6):
                 leader, _ = leader_and_others(cluster)
-                await cluster.kill(leader)
-                await asyncio.sleep(0.3)
-                cluster.start_node(leader)
+                await cluster.restart(leader, 0.3)
             if number in (4, 7):
                 assert await settle(lambda number=number: _cancelled(cluster, number), 20)
         cluster.cloud.again = lambda: 0.0
@@ -370,15 +362,11 @@
         await asyncio.sleep(15)  # the last of them is carried out
         assert all([await _done(cluster, number) for number in range(1, 8)])
         assert not cluster.broken
-        assert _commanding(cluster) == [cluster.leader()]
+        assert cluster.commanding() == [cluster.leader()]
     finally:
         await cluster.stop()
 
 
-def _commanding(cluster: Cluster) -> list[str]:
-    return [name for name, (node, _) in cluster.nodes.items() if node._keeper.dispatching()]
-
-
 @pytest.mark.parametrize("kind", KINDS)
 def test_a_transaction_without_an_answer_is_carried_out_after_newer_ones(kind: str) -> None:
     play(_late_transactions(kind))
