What a cancelled job takes counts until it has ended, however many jobs are over

Cause: the view kept the description of the 2,000 jobs that were over last, and after a start those with the last ids. A task of any other one that a new leader found on a machine counted as nothing against its team's limit. If its machine hung, so that the stop did not take effect, others of the team were started beside it.

Change: of each job that is over a footprint stays, shared by all that are alike; classes are still counted by the latest 2,000, now by version. Stand-ins: machines that hang, transactions of which only the answer is lost, copies of reports that are kept for the next leader.

Of the full run of tests only the files touched were run for this commit.

--- a/gingerspar/coordination/leader/command.py
+++ b/gingerspar/coordination/leader/command.py
@@ -6,8 +6,9 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
 from datetime import timedelta
-from heapq import heappop, heappush
+from heapq import heappop, heappush, nlargest
 from itertools import count
+from operator import attrgetter
 from typing import Any
 
 from gingerspar.coordination.books.ledger import Machine, MachineState, Placement
@@ -59,6 +60,7 @@
 TELL_PATIENCE = timedelta(seconds=0.7)
 SUMMARY = timedelta(seconds=5)
 SAMPLE = 6  # machines that peers are told of
+COUNTED_OVER = 2000  # of the jobs that are over, the latest: how far their classes are served in a new term
 RETIRED_FOR = timedelta(minutes=2)  # far longer than the machine list lags
 HOLD_MOST = timedelta(seconds=2.7)  # workers give an answer up after 4 s, and late timers need some of that
 HOLD_STRAINED = timedelta(seconds=2.2)  # ... and more of it while they are late
@@ -174,9 +176,8 @@
 
     def start(self, types: list[MachineType]) -> None:
         self.dispatcher.set_types(types)
-        for final in self._view.final.values():
-            if final.spec is not None:
-                self.dispatcher.book.services.over(final.spec.jobclass, final.status is JobStatus.DONE)
+        for final in nlargest(COUNTED_OVER, self._view.final.values(), key=attrgetter("version")):
+            self.dispatcher.book.services.over(final.footprint.jobclass, final.status is JobStatus.DONE)
         for job in self._view.jobs:
             self._record_changed(job)
         log.info(
--- a/gingerspar/storage/records.py
+++ b/gingerspar/storage/records.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from gingerspar.protocol.messages import JobSpec, JobStatus
+from gingerspar.protocol.messages import JobSpec, JobStatus, Priority, Shape
 
 PREFIX = "gs/"
 JOBS = PREFIX + "j/"
@@ -137,13 +137,46 @@
         return (self.spec.priority.rank, self.due, self.submitted, self.spec.job)
 
 
-class FinalRecord(msgspec.Struct):
+class Footprint(msgspec.Struct, frozen=True):
+    """What a task of a job that is over takes, and of whom, while it is still on a machine.
+
+    Kept for each job that is over, however old: one such object serves all that are alike.
+    """
+
+    jobclass: str
+    team: str
+    shape: Shape
+    priority: Priority
+    cpus: float
+    gpus: float
+    memory_gb: float
+
+    def spec(self, job: str, tasks: int) -> JobSpec:
+        """Enough of the job's description to stop its tasks, and to count them until they have ended."""
+        return JobSpec(
+            job=job,
+            jobclass=self.jobclass,
+            team=self.team,
+            shape=self.shape,
+            priority=self.priority,
+            tasks=tasks,
+            cpus=self.cpus,
+            gpus=self.gpus,
+            memory_gb=self.memory_gb,
+        )
+
+
+def footprint(spec: JobSpec) -> Footprint:
+    return Footprint(spec.jobclass, spec.team, spec.shape, spec.priority, spec.cpus, spec.gpus, spec.memory_gb)
+
+
+class FinalRecord(msgspec.Struct, frozen=True):
     """All that is kept in memory of a job that is over."""
 
     status: JobStatus
     tasks: int
     version: int
-    spec: JobSpec | None = None  # of the latest ones only: their tasks may still be on machines
+    footprint: Footprint
 
 
 class NodeRecord(msgspec.Struct, frozen=True):
--- a/gingerspar/storage/view.py
+++ b/gingerspar/storage/view.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import logging
-from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
 from enum import Enum
@@ -20,6 +19,7 @@
 from gingerspar.storage.records import (
     ChunkRecord,
     FinalRecord,
+    Footprint,
     JobRecord,
     NodeRecord,
     RosterRecord,
@@ -31,7 +31,6 @@
 
 log = logging.getLogger(__name__)
 
-KEPT_SPECS = 2000
 LONG_AGO = timedelta(days=-10000)
 READ_WAIT = timedelta(seconds=1.5)
 PATIENCE = timedelta(seconds=0.5)  # where reads are further apart, the next one is sent once somebody waits
@@ -85,7 +84,7 @@
         self.unreadable: set[str] = set()  # jobs with a newer record than this program can read
         self._gone: dict[str, int] = {}  # tombstones of our own deletions until the watch passes them
         self._chunks: dict[str, dict[int, tuple[str, int]]] = {}
-        self._latest: deque[str] = deque()  # final jobs whose description is still kept
+        self._footprints: dict[Footprint, Footprint] = {}  # each is kept once for all jobs that are alike
         self._wanted = asyncio.Event()
         self._barriers: list[asyncio.Future[None]] = []
         self._shared: asyncio.Future[None] | None = None  # one of them, for those that wait for the next read
@@ -282,10 +281,9 @@
         if record.status.final:
             self.jobs.pop(job, None)
             self._chunks.pop(job, None)
-            self.final[job] = FinalRecord(record.status, record.spec.tasks, version, record.spec)
-            self._latest.append(job)
-            if len(self._latest) > KEPT_SPECS:
-                self.final[self._latest.popleft()].spec = None
+            kept = records.footprint(record.spec)
+            kept = self._footprints.setdefault(kept, kept)
+            self.final[job] = FinalRecord(record.status, record.spec.tasks, version, kept)
         else:
             finished = TaskSet(record.spec.tasks)
             if record.spilled:
@@ -341,9 +339,9 @@
         return self.nodes.get(claimant.node) == claimant.session
 
     def final_spec(self, job: str) -> JobSpec | None:
-        """What a job that is over was, if it was over lately."""
+        """What is kept of the description of a job that is over."""
         final = self.final.get(job)
-        return final.spec if final is not None else None
+        return final.footprint.spec(job, final.tasks) if final is not None else None
 
     def status_of(self, job: str) -> JobStatus | None:
         if job in self.final:
--- a/tests/standins/cloud.py
+++ b/tests/standins/cloud.py
@@ -59,6 +59,8 @@
         self.gone: dict[str, float] = {}  # by job: when the last of its tasks that was on a machine ended
         self.again: Callable[[], float] = lambda: 0.0  # after how long a copy of a report comes; 0: never
         self.copies: set[asyncio.Task[None]] = set()
+        self.keeps: Callable[[], bool] = lambda: False  # whether a copy of a report is kept for the next leader
+        self.kept: list[bytes] = []
         self.server = Server(self.handle)
 
     async def handle(self, request: Request) -> Answer:
@@ -106,9 +108,22 @@
         """A copy of the report arrives at the same controller, perhaps."""
         after = self.again()
         if after > 0:
-            copy = asyncio.ensure_future(self._come_again(after, node, body))
-            self.copies.add(copy)
-            copy.add_done_callback(self.copies.discard)
+            self._copy(after, node, body)
+        if self.keeps():
+            self.kept.append(body)
+
+    def next_leader(self) -> None:
+        """The term has changed: the copies that were kept arrive at every controller, now and a moment later."""
+        kept, self.kept = self.kept, []
+        for body in kept:
+            for node in self.controllers:
+                for after in (0.0, 0.3, 1.0):
+                    self._copy(after, node, body)
+
+    def _copy(self, after: float, node: str, body: bytes) -> None:
+        copy = asyncio.ensure_future(self._come_again(after, node, body))
+        self.copies.add(copy)
+        copy.add_done_callback(self.copies.discard)
 
     async def _come_again(self, after: float, node: str, body: bytes) -> None:
         await asyncio.sleep(after)
@@ -166,6 +181,19 @@
             for each, worker in began.items():
                 worker.end(each, "done")
 
+    def stands_still(self, worker: Worker, key: tuple[str, int], seconds: float) -> None:
+        """The others of its gang notice, and so does it when it goes on."""
+        members = self.gangs.get((key[0].partition("/")[0], key[1]), {})
+        if seconds >= GANG_PEER and worker.tasks[key]["Status"] == "running" and members.pop(key, None) is not None:
+            self._lost_one(members)
+            worker.end_life(key, worker.life, "peers")  # not before it goes on
+
+    @staticmethod
+    def _lost_one(members: dict[tuple[str, int], Worker]) -> None:
+        for each, other in list(members.items()):
+            if other.tasks.get(each, {}).get("Status") == "running":
+                asyncio.get_running_loop().call_later(GANG_PEER, other.end_life, each, other.life, "peers")
+
     def _incomplete(self, worker: Worker, key: tuple[str, int], life: int) -> None:
         task = worker.tasks.get(key)
         if worker.life == life and task is not None and task["Status"] == "gathering":
@@ -179,9 +207,7 @@
             self.done.setdefault(name, set()).add(key[0])
         members = self.gangs.get((name, key[1]), {})
         if members.pop(key, None) is not None and cause != "done":
-            for each, other in list(members.items()):
-                if other.tasks.get(each, {}).get("Status") == "running":
-                    asyncio.get_running_loop().call_later(GANG_PEER, other.end_life, each, other.life, "peers")
+            self._lost_one(members)
         if name in self.cancelled and self.gone[name] - self.cancelled[name] > self.cancel_s:
             self.broken.append(f"ran_cancelled: {key[0]} was on {worker.name}")
 
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -47,6 +47,7 @@
         self.cloud.limits = {team: limit for team, limit in self.limits.items() if limit}
         self.cloud.cancel_s = cancel_s
         self.state.on_machines = lambda: {name for name, worker in self.cloud.workers.items() if worker.tasks}
+        self.state.next_leader = self.cloud.next_leader
         self.nodes: dict[str, tuple[Controller, asyncio.Task[None]]] = {}
 
     @property
--- a/tests/standins/state.py
+++ b/tests/standins/state.py
@@ -15,6 +15,9 @@
     return Answer(status, msgspec.json.encode(body))
 
 
+GIVEN_UP = 12.0  # seconds after which nobody waits for an answer any more
+
+
 class StateService:
     """Keys with versions, transactions, leases and changes; all in memory."""
 
@@ -29,6 +32,9 @@
         self.slow: Callable[[], float] = lambda: 0.0  # seconds that an answer takes
         # By how much later a transaction is carried out, unanswered; 0: at once. Given its writes.
         self.late: Callable[[list[dict[str, Any]]], float] = lambda writes: 0.0
+        # Whether a transaction is carried out at once and only its answer is lost. Given its writes.
+        self.unanswered: Callable[[list[dict[str, Any]]], bool] = lambda writes: False
+        self.next_leader: Callable[[], None] = lambda: None  # called when the term has changed
         self.broken: list[str] = []  # changes that must never be, whoever sends them and however late
         self.on_machines: Callable[[], set[str]] = set  # machines with tasks
         self.servers: list[Server] = []
@@ -62,7 +68,10 @@
             if late > 0:
                 await asyncio.sleep(late)  # its sender has given up meanwhile
                 self.expire()
-            return self.commit(body)
+            done = self.commit(body)
+            if self.unanswered(body.get("Writes", [])):
+                await asyncio.sleep(GIVEN_UP)
+            return done
         if request.path == "/changes":
             since = int(query["Since"])
             found = [e for e in self.events if e["Stamp"] > since and self._key(e).startswith(query["Prefix"])]
@@ -122,6 +131,8 @@
             if "Put" in write:
                 self.keys[write["Put"]] = (write["Data"], self.revision, write.get("Hold"))
                 self.events.append({"Put": write["Put"], "Data": write["Data"], "Stamp": self.revision})
+                if write["Put"] == "gs/term":
+                    self.next_leader()
             elif self.keys.pop(write["Remove"], None) is not None:
                 self.events.append({"Remove": write["Remove"], "Stamp": self.revision})
         return answer(200, {"Epoch": self.revision})
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -53,6 +53,7 @@
         self.reaches = set(self.nodes)  # others are behind a cut
         self.orders_late = 0.0  # so many seconds after they were sent commands are carried out that are sent directly
         self.answers_late: Callable[[], float] = lambda: 0.0  # so many seconds after they have come
+        self.hung_until = 0.0  # until then it does nothing at all
         self.answered = 0.0  # when the last report that was answered had been sent
         self.address = f"127.0.0.1:{free_port()}"
         self.server = Server(self.handle)
@@ -75,6 +76,7 @@
         clock = asyncio.get_running_loop().time
         await asyncio.sleep(0.2)
         while True:
+            await self.while_hung()
             sent = clock()
             if await self.report(sent):
                 self.answered = sent
@@ -82,8 +84,25 @@
                 await asyncio.wait_for(self.changed.wait(), self.cloud.report_seconds)
             self.changed.clear()
 
+    @property
+    def hung(self) -> bool:
+        return asyncio.get_running_loop().time() < self.hung_until
+
+    async def while_hung(self) -> None:
+        while self.hung:
+            await asyncio.sleep(self.hung_until - asyncio.get_running_loop().time())
+
+    def hang(self, seconds: float) -> None:
+        """It stands still; what it has been sent meanwhile it finds when it goes on."""
+        self.hung_until = max(self.hung_until, asyncio.get_running_loop().time() + seconds)
+        for key in list(self.tasks):
+            self.cloud.stands_still(self, key, seconds)
+
     async def keep_lease(self) -> None:
-        """The lease runs out when it does, whatever the worker waits for."""
+        """The lease runs out when it does, whatever the worker waits for.
+
+        Also while it hangs: that its lease is over is the first thing that it finds out when it goes on.
+        """
         clock = asyncio.get_running_loop().time
         self.answered = clock()
         while True:
@@ -107,12 +126,12 @@
         """What controllers ask it directly."""
         if self.deaf or (self.unordered and request.path == "/commands"):
             return asyncio.get_running_loop().create_future()  # as if it had not arrived
-        if self.orders_late and request.path == "/commands":
-            return asyncio.ensure_future(self.handle_late(request))
-        return self.obey(request)
+        late = self.orders_late if request.path == "/commands" else 0.0
+        return asyncio.ensure_future(self.handle_late(request, late)) if late or self.hung else self.obey(request)
 
-    async def handle_late(self, request: Request) -> Answer:
-        await asyncio.sleep(self.orders_late)
+    async def handle_late(self, request: Request, late: float) -> Answer:
+        await asyncio.sleep(late)
+        await self.while_hung()
         return self.obey(request)
 
     def obey(self, request: Request) -> Answer:
@@ -146,6 +165,7 @@
             status, answer = 0, b"{}"
         finally:
             client.close()
+        await self.while_hung()
         clock = asyncio.get_running_loop().time
         held_up = self.answers_late()
         if self.deaf or held_up:  # it gives the answer up if it takes too long
@@ -199,13 +219,16 @@
 
     def end_life(self, key: tuple[str, int], life: int, cause: str) -> None:
         """What was planned when the task started, unless the machine has lost all its tasks since."""
-        if life == self.life:
+        loop = asyncio.get_running_loop()
+        if life == self.life and self.hung:
+            loop.call_at(self.hung_until + 0.01, self.end_life, key, life, cause)
+        elif life == self.life:
             self.end(key, cause)
 
     def begin_again(self, *, anew: bool) -> None:
         """It has ended and is back at once; ``anew``: its sessions and reports are numbered from 1 on."""
         self.drop_tasks()
-        self.token = 0
+        self.token, self.hung_until = 0, 0.0
         self.answered = asyncio.get_running_loop().time()
         if anew:
             self.session, self.seq = 1, 0
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -283,8 +283,8 @@
         await cluster.stop()
 
 
-async def _cancelled(cluster: Cluster, number: int) -> bool:
-    status, body = await cluster.ask("n1", "POST", f"/v1/jobs/{job_name(number)}/abort", b"")
+async def _cancelled(cluster: Cluster, number: int, node: str = "n1") -> bool:
+    status, body = await cluster.ask(node, "POST", f"/v1/jobs/{job_name(number)}/abort", b"")
     if status == 200 and body["Status"] == "aborted":
         cluster.cloud.cancelled.setdefault(job_name(number), asyncio.get_running_loop().time())
     return status == 200
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -80,3 +80,19 @@
 def test_a_refusal_is_no_answer() -> None:
     with pytest.raises(Unavailable):
         asyncio.run(_read(_Client(None)))
+
+
+def test_what_a_job_that_is_over_takes_is_known_however_many_are_over() -> None:
+    """A cancelled job's task that a new leader finds counts against its team's limit until it has ended.
+
+    Of the 2,000 latest alone the description was kept, and after a start they were the last ones by their ids.
+    """
+    service: Any = _Client()
+    view = WatchedView(service, Clock(), rps=100, nodes=3)
+    for number in range(1, 3002):
+        spec = parse_job(job(number, Cpus=4.0, Pieces=2))
+        view.apply(f"gs/j/wk-{number:06d}", bytes(pack(JobRecord(spec, JobStatus.CANCELLED))), number)
+    found = view.final_spec("wk-000001")
+    assert found is not None
+    assert (found.job, found.team, found.cpus, found.tasks) == ("wk-000001", "red", 4.0, 2)
+    assert len({id(final.footprint) for final in view.final.values()}) == 1  # and costs no more memory than one
