Whoever confirms a cancellation tells the other controllers

Cause: only the controller whose transaction was answered told its peers. Where the transaction was carried out and its answer lost, or its writer ended, the cancellation was confirmed from the view and a leader without the state service was not told: its workers' leases ended the tasks, up to cancel_s later.

Change: each confirmation tells, whatever it rests on.

--- a/gingerspar/coordination/jobs/frontdoor.py
+++ b/gingerspar/coordination/jobs/frontdoor.py
@@ -32,7 +32,7 @@
 from gingerspar.storage import records
 from gingerspar.storage.budgets import Urgency
 from gingerspar.storage.client import Conflict, LeaseGone, StateClient, Unavailable, Unknown
-from gingerspar.storage.records import JobRecord
+from gingerspar.storage.records import FinalRecord, JobRecord
 from gingerspar.storage.view import Phase, WatchedView
 from gingerspar.transport.clock import Clock
 from gingerspar.transport.server import Answer
@@ -312,11 +312,11 @@
         if not messages.JOB_ID.fullmatch(job):
             return problem(404, "no such job")
         deadline = self._clock.now() + WRITE_WAIT
-        while self._clock.now() < deadline:
+        while True:
             final = self._view.final.get(job)
             if final is not None:
-                return self._state(200, job, final.status)
-            if not self._has_state():
+                return self._over(job, final)
+            if not self._has_state() or self._clock.now() >= deadline:
                 break
             if job in self._view.unreadable:
                 return UNREADABLE
@@ -327,8 +327,7 @@
                 if self._view.status_of(job) is None:
                     return problem(404, "no such job")
                 continue
-            record = cancelled(entry)
-            put = Put(records.job_key(job), records.pack(record))
+            put = Put(records.job_key(job), records.pack(cancelled(entry)))
             try:
                 version = await self._client.commit(
                     Transaction([KeyVersion(put.key, entry.version)], [put]), Urgency.USER
@@ -339,9 +338,19 @@
             except (Unavailable, LeaseGone):
                 break
             self._view.apply(put.key, bytes(put.value), version)
-            self.tell_cancelled(job, version, record)
         return problem(503, "not cancelled yet", 1)
 
+    def _over(self, job: str, final: FinalRecord) -> Answer:
+        """What a cancellation is answered; whoever confirms one tells the peers.
+
+        Not only who has written it: its transaction may have been carried out without an answer, or by a controller
+        that has ended since, and then a leader without the state service was never told.
+        """
+        if final.status is JobStatus.CANCELLED:
+            record = JobRecord(final.footprint.spec(job, final.tasks), JobStatus.CANCELLED)
+            self.tell_cancelled(job, final.version, record)
+        return self._state(200, job, final.status)
+
     def _state(self, status: int, job: str, known: JobStatus) -> Answer:
         if not known.final:
             known = JobStatus.RUNNING if self.running(job) else JobStatus.PENDING
--- a/tests/test_more_meetings.py
+++ b/tests/test_more_meetings.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import msgspec
+import pytest
 
 from gingerspar.protocol.messages import JobStatus, parse_job
 from gingerspar.storage import records
@@ -12,7 +13,7 @@
 from tests.standins.cluster import Cluster, job
 from tests.standins.simulated import SimulatedClock, play
 from tests.standins.worker import Worker
-from tests.test_meetings import _cancelled, job_name, leader_and_others, on_machines
+from tests.test_meetings import _cancelled, job_name, leader_and_others, on_machines, started
 
 # -- every team is at its limit, jobs are cancelled whose machines don't stop them, the leader changes ------------
 
@@ -93,3 +94,40 @@
 def test_a_team_at_its_limit_while_machines_with_cancelled_tasks_hang() -> None:
     """What a cancelled job takes counts until it has ended, however many jobs are over and in whatever order."""
     play(_at_the_limit())
+
+
+# -- a cancellation's answer is lost, or it is confirmed by another controller, while the leader is refused --------
+
+
+async def _confirmed_elsewhere(*, ends: bool) -> None:
+    """The transaction is carried out at once and its answer lost; whoever confirms it tells the leader."""
+    cluster = await started(60, jobs=1)
+    clock = asyncio.get_running_loop().time
+    try:
+        leader, others = leader_and_others(cluster)
+        cluster.state.refused = {leader}
+        for worker in cluster.cloud.workers.values():
+            worker.reaches = {leader}
+        cluster.state.unanswered = lambda writes: any(write["Data"].get("status") == "aborted" for write in writes)
+        asking = asyncio.ensure_future(cluster.ask(others[0], "POST", f"/v1/jobs/{job_name(1)}/abort", b""))
+        await asyncio.sleep(0.2)
+        cluster.state.unanswered = lambda writes: False
+        assert cluster.state.keys["gs/j/wk-000001"][0]["status"] == "aborted"
+        if ends:  # who has written it ends before its answer; nobody takes the term, as the leader still commands
+            await cluster.kill(others[0])
+            asking.cancel()
+            status, body = await cluster.ask(others[1], "POST", f"/v1/jobs/{job_name(1)}/abort", b"")
+        else:
+            status, body = await asking
+        assert (status, body["Status"]) == (200, "aborted")
+        confirmed = clock()
+        assert await settle(lambda: on_machines(cluster, 1) == 0, 30)
+        assert clock() - confirmed < 0.5, "the leader was not told"
+        assert not cluster.broken
+    finally:
+        await cluster.stop()
+
+
+@pytest.mark.parametrize("ends", [False, True], ids=["the answer is lost", "its writer ends"])
+def test_whoever_confirms_a_cancellation_tells_the_leader(ends: bool) -> None:
+    play(_confirmed_elsewhere(ends=ends))
