--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -36,6 +36,7 @@
         self.clock = clock
         self.zones = zones
         self.idle_return_s, self.session_ttl_s = 1.0, 2.0
+        self.write_rps = 100.0
         self.limits = dict(limits or {"red": 0.0})
         self.apart: set[str] = set()  # nodes that hear no other controller, and that none hears
         ports = {name: (free_port(), free_port()) for name in NAMES}
@@ -83,7 +84,7 @@
 cancel_s = {self.cancel_s}
 [facts.state]
 rps = 200.0
-write_rps = 100.0
+write_rps = {self.write_rps}
 value_kb = 16.0
 txn_ops = 16
 [facts.cloud]
--- a/tests/test_more_meetings.py
+++ b/tests/test_more_meetings.py
@@ -1,7 +1,9 @@
 """Further meetings, by simulated time: limits of teams, what is answered at all nodes, hung machines, lost answers."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
 import msgspec
@@ -10,10 +12,11 @@
 from gingerspar.protocol.messages import JobStatus, parse_job
 from gingerspar.storage import records
 from tests.standins.cloud import ARRAY, settle
-from tests.standins.cluster import Cluster, job
+from tests.standins.cluster import NAMES, Cluster, job
 from tests.standins.simulated import SimulatedClock, play
-from tests.standins.worker import Worker
-from tests.test_meetings import _cancelled, job_name, leader_and_others, on_machines, started
+from tests.standins.users import Users
+from tests.standins.worker import LEASE, Worker
+from tests.test_meetings import _cancelled, _done, _is, job_name, leader_and_others, on_machines, started
 
 # -- every team is at its limit, jobs are cancelled whose machines don't stop them, the leader changes ------------
 
@@ -131,3 +134,265 @@
 @pytest.mark.parametrize("ends", [False, True], ids=["the answer is lost", "its writer ends"])
 def test_whoever_confirms_a_cancellation_tells_the_leader(ends: bool) -> None:
     play(_confirmed_elsewhere(ends=ends))
+
+
+# -- all controllers are asked within milliseconds ---------------------------------------------------------------
+
+
+async def _close_looks(trouble: str) -> None:
+    """Everybody looks at each piece of news, at all controllers, while half of the answers to transactions are lost."""
+    cluster = Cluster(3.0, 12, clock=SimulatedClock())
+    users = Users(cluster, Random(trouble))
+    users.looks = True
+    coin = Random(7)
+    if trouble == "answers lost":
+        cluster.state.unanswered = lambda writes: coin.random() < 0.5
+    elif trouble == "late":
+        cluster.state.late = lambda writes: coin.uniform(2, 6) if coin.random() < 0.3 else 0.0
+    elif trouble == "slow":
+        cluster.state.slow = lambda: coin.uniform(0, 0.6)
+    cluster.cloud.all_done = lambda name: users.lives.append(asyncio.ensure_future(users.cancel(name, 0.0)))
+    cluster.start()
+    try:
+        users.begin(12, 12.0, cancelled=0.5)
+        if trouble == "ends":
+            for turn in range(10):
+                await asyncio.sleep(1.5)
+                await cluster.restart(NAMES[turn % 3], 0.3)
+        end = users.now() + 150
+        while users.now() < end and not all(life.done() for life in users.lives):
+            await asyncio.wait(list(users.lives), timeout=end - users.now())
+        assert users.accepted == users.told.keys() == users.specs.keys()
+        assert not cluster.broken
+    finally:
+        for life in users.lives:
+            life.cancel()
+        await cluster.stop()
+
+
+@pytest.mark.parametrize("trouble", ["none", "answers lost", "late", "slow", "ends"])
+def test_nobody_is_answered_anything_older_at_any_controller(trouble: str) -> None:
+    play(_close_looks(trouble))
+
+
+# -- new machines get work at once, writes lag, the leader ends ----------------------------------------------------
+
+
+async def _up_at_once(kind: str, *, lost: bool) -> None:
+    """The leader ends as a write of a kind arrives, which is carried out at once or late, again and again."""
+    cluster = Cluster(6.0, 12, clock=SimulatedClock())
+    ends: list[asyncio.Task[None]] = []
+    seen = 0
+
+    def end_the_leader(writes: list[dict[str, Any]]) -> bool:
+        nonlocal seen
+        if not _is(kind, writes):
+            return False
+        seen += 1
+        if seen in (1, 3, 6) and cluster.leader() is not None:
+            ends.append(asyncio.ensure_future(cluster.restart(str(cluster.leader()), 0.3)))
+        return seen % 2 == 1
+
+    if lost:
+        cluster.state.unanswered = end_the_leader
+    else:
+        cluster.state.late = lambda writes: 2.0 + seen * 1.7 % 9 if end_the_leader(writes) else 0.0
+    cluster.start()
+    try:
+        for number in range(1, 7):
+            assert await settle(lambda number=number: cluster.accepts(NAMES[number % 3], number), 30)
+            await asyncio.sleep(2)
+            if kind == "term" and number % 2:  # else the first leader would stay
+                ends.append(asyncio.ensure_future(cluster.restart(str(cluster.leader()), 0.3)))
+        for number in range(1, 7):
+            assert await settle(lambda number=number: _done(cluster, number), 60), f"job {number} is not done"
+        assert ends, "the leader did not end"
+        await asyncio.sleep(12)  # the last of what is late is carried out
+        assert not cluster.broken
+    finally:
+        await asyncio.gather(*ends)
+        await cluster.stop()
+
+
+@pytest.mark.parametrize("lost", [True, False], ids=["its answer is lost", "it is carried out late"])
+@pytest.mark.parametrize("kind", ["roster", "claim", "term", "result"])
+def test_new_machines_get_work_while_writes_lag_and_the_leader_ends(kind: str, lost: bool) -> None:
+    play(_up_at_once(kind, lost=lost))
+
+
+# -- old reports reach every controller just as a new leader begins ----------------------------------------------
+
+
+async def _old_reports(befalls: str) -> None:
+    """Of machines that go on, that have begun anew, that nobody reaches, and that were given back."""
+    cluster = await started(12, jobs=2, spare=True)
+    cluster.cloud.keeps = lambda: True
+    try:
+        await asyncio.sleep(3)
+        for _ in range(3):
+            leader, others = leader_and_others(cluster)
+            for worker in list(cluster.cloud.workers.values()):
+                if befalls == "begins anew" and worker.tasks:
+                    worker.begin_again(anew=True)
+                elif befalls == "a lease is over" and worker.tasks:
+                    worker.hang(LEASE + 1)
+                elif befalls == "dies" and worker.tasks:
+                    cluster.cloud.dies(worker.name)
+            if befalls == "only told directly":
+                cluster.state.refused, cluster.apart = {leader}, {leader}
+                assert await settle(lambda others=others: cluster.leader() in others, 20)
+                await asyncio.sleep(4)
+                cluster.state.refused, cluster.apart = set(), set()
+            else:
+                await cluster.restart(leader, 0.3)
+            assert await settle(lambda: len(cluster.cloud.tasks()) == 6, 30), "its work is held back"
+            await asyncio.sleep(3)
+        await asyncio.sleep(15)
+        assert len(cluster.cloud.tasks()) == 6
+        assert not cluster.broken
+    finally:
+        await cluster.stop()
+
+
+@pytest.mark.parametrize("befalls", ["nothing", "begins anew", "a lease is over", "dies", "only told directly"])
+def test_old_reports_reach_every_controller_as_a_new_leader_begins(befalls: str) -> None:
+    play(_old_reports(befalls))
+
+
+# -- a job is cancelled as its claim changes hands ---------------------------------------------------------------
+
+
+async def _cancelled_between_hands(kind: str, *, lost: bool) -> None:
+    """As a write of a kind is carried out, its answer lost or not, users cancel the jobs that it tells of."""
+    cluster = await started(12, jobs=0)
+    users = Users(cluster, Random(kind))
+    seen: set[str] = set()
+    cancelling = False
+
+    def cancel(writes: list[dict[str, Any]]) -> bool:
+        if not cancelling or not _is(kind, writes):
+            return False
+        for write in writes:
+            name = write["Put"].rpartition("/")[2]
+            if write["Put"].startswith("gs/j/") and name in users.specs and name not in seen:
+                seen.add(name)
+                users.lives.append(asyncio.ensure_future(users.cancel(name, 0.02 * (len(seen) % 3))))
+        return lost
+
+    try:
+        cancelling = kind == "claim"
+        cluster.state.unanswered = cancel
+        for number in range(1, 7):
+            users.specs[job_name(number)] = job(number)
+            assert await settle(lambda number=number: cluster.accepts("n0", number), 10)
+            users.accepted.add(job_name(number))
+            await asyncio.sleep(0.3)
+        cancelling = True
+        await asyncio.sleep(3)
+        await cluster.kill("n0")  # which has claimed them; its session lapses, its records are swept and claimed anew
+        await asyncio.sleep(8)
+        assert seen, "there was none of the kind"
+        cluster.start_node("n0")
+        await asyncio.sleep(2)
+        told = await asyncio.wait_for(asyncio.gather(*users.lives), 60)
+        assert told
+        assert {users.told.get(name) for name in seen} == {"aborted"}
+        assert all(on_machines(cluster, int(name[3:])) == 0 for name in seen)
+        assert not cluster.cloud.late_starts
+        assert not cluster.broken
+    finally:
+        await cluster.stop()
+
+
+@pytest.mark.parametrize("lost", [True, False], ids=["its answer is lost", "answered"])
+@pytest.mark.parametrize("kind", ["claim", "sweep or release"])
+def test_cancelled_as_its_claim_changes_hands(kind: str, lost: bool) -> None:
+    play(_cancelled_between_hands(kind, lost=lost))
+
+
+# -- a job is cancelled whose machines hang ------------------------------------------------------------------------
+
+
+async def _cancelled_while_hung(hung_for: float, *, changes: bool) -> None:
+    cluster = await started(9, jobs=2, spare=True)
+    try:
+        assert await settle(lambda: _cancelled(cluster, 1), 10)
+        for worker in _with_tasks_of(cluster, 1):
+            worker.hang(hung_for)
+        if changes:
+            leader, _ = leader_and_others(cluster)
+            await cluster.restart(leader, 0.3)
+        await asyncio.sleep(hung_for + 12)
+        assert on_machines(cluster, 1) == 0
+        assert on_machines(cluster, 2) == 3, "the other job does not run"
+        assert not cluster.cloud.late_starts
+        assert not cluster.broken
+    finally:
+        await cluster.stop()
+
+
+@pytest.mark.parametrize("changes", [False, True], ids=["the leader stays", "the leader ends"])
+@pytest.mark.parametrize("hung_for", [2.0, LEASE - 0.3, LEASE + 2, 13.0])
+def test_cancelled_while_its_machines_hang(hung_for: float, changes: bool) -> None:
+    """For less and for more than a lease, and than cancel_s: when a machine goes on, its lease is over or it obeys."""
+    play(_cancelled_while_hung(hung_for, changes=changes))
+
+
+# -- one-task jobs, four a second for minutes, a quarter of them cancelled -----------------------------------------
+
+
+async def _four_a_second() -> None:
+    """With a write limit that takes them and little more; the leader ends in the midst of it."""
+    cluster = Cluster(2.0, 12, clock=SimulatedClock(), limits={"red": 48.0, "blue": 24.0})
+    cluster.write_rps = 20.0
+    users = Users(cluster, Random(4))
+    seconds = 120
+    took: list[float] = []
+    random = Random(5)
+
+    async def live(number: int) -> None:
+        name = job_name(number)
+        users.specs[name] = cluster.cloud.jobs[name] = job(
+            number, Pieces=1, Crew=random.choice(["red", "red", "blue"]), GuessS=random.uniform(1, 4)
+        )
+        await asyncio.sleep(number / 4)
+        began = users.now()
+        while name not in users.accepted:
+            status, body = await users.ask("POST", "/v1/jobs", users.specs[name])
+            if status in (200, 201):
+                users.accepted.add(name)
+                users.hear(name, body, None)
+            else:
+                await asyncio.sleep(1)
+        took.append(users.now() - began)
+        if number % 4 == 0:
+            await asyncio.sleep(random.uniform(0, 3))
+            while not await users.cancel_once(name):
+                await asyncio.sleep(1)
+        while name not in users.told:
+            await asyncio.sleep(2)
+            await users.question(name)
+
+    cluster.start()
+    lives = [asyncio.ensure_future(live(number)) for number in range(1, 4 * seconds)]
+    try:
+        await asyncio.sleep(seconds / 2)
+        leader, _ = leader_and_others(cluster)
+        await cluster.restart(leader, 0.3)
+        done, late = await asyncio.wait(lives, timeout=seconds)
+        assert not late, f"{len(late)} jobs are not over"
+        for life in done:
+            life.result()
+        took.sort()
+        assert took[len(took) * 95 // 100] < 1.0, "submissions wait"
+        assert Counter(users.told.values())["done"] >= len(lives) * 0.7
+        assert not cluster.cloud.late_starts
+        assert not cluster.broken
+    finally:
+        for life in lives:
+            life.cancel()
+        await cluster.stop()
+
+
+def test_one_task_jobs_four_a_second_for_minutes() -> None:
+    play(_four_a_second())
