--- a/tests/standins/cloud.py
+++ b/tests/standins/cloud.py
@@ -154,6 +154,8 @@
                 self.broken.append(f"ran_twice: {task} on {worker.name} and {other.name}")
             if spec["SamePlace"] and each.partition("/")[0] == name and other.zone != worker.zone:
                 self.broken.append(f"wrong_place: {task} in {worker.zone}, {each} in {other.zone}")
+        if spec.get("Hall") not in (None, worker.zone) or (worker.spot and not spec.get("Loaners", True)):
+            self.broken.append(f"wrong_place: {task} in {worker.zone} on {worker.name}, spot {worker.spot}")
         used = sum(self.job_of(each)["Cpus"] for _, (each, _) in live if self.job_of(each)["Crew"] == spec["Crew"])
         if used > self.limits.get(spec["Crew"], math.inf):
             self.broken.append(f"quota: {spec['Crew']} uses {used}")
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -147,8 +147,8 @@
         finally:
             client.close()
 
-    async def accepts(self, name: str, number: int) -> bool:
-        status, _ = await self.ask(name, "POST", "/v1/jobs", job(number))
+    async def accepts(self, name: str, number: int, **changes: Any) -> bool:
+        status, _ = await self.ask(name, "POST", "/v1/jobs", job(number, **changes))
         return status in (200, 201)
 
     def leader(self) -> str | None:
--- /dev/null
+++ b/tests/test_lasting_meetings.py
@@ -0,0 +1,181 @@
+"""Meetings that last, by simulated time: longer than a lease, ten changes of leader, more work than room."""
+
+import asyncio
+from random import Random
+
+import pytest
+
+from tests.standins.cloud import settle
+from tests.standins.cluster import NAMES, Cluster, job
+from tests.standins.simulated import SimulatedClock, play
+from tests.standins.users import Users
+from tests.standins.worker import LEASE
+from tests.test_meetings import _cancelled, leader_and_others, on_machines, started
+
+
+async def _out_of_touch(who: str) -> None:
+    """For longer than a lease; the leader ends meanwhile, a job is cancelled, and then all is well again."""
+    cluster = await started(12, jobs=2, spare=True)
+    try:
+        busy = [worker for worker in cluster.cloud.workers.values() if worker.tasks]
+        if who == "all controllers":
+            for name in NAMES:
+                await cluster.kill(name)
+            await asyncio.sleep(LEASE + 3)
+            for name in NAMES:
+                cluster.start_node(name)
+        else:  # machines that reach no controller, while commands reach them
+            for worker in busy:
+                worker.reaches = set()
+            leader, _ = leader_and_others(cluster)
+            await cluster.restart(leader, 0.5)
+            await asyncio.sleep(3 * LEASE)
+            for worker in busy:
+                worker.reaches = set(NAMES)
+        assert await settle(lambda: _cancelled(cluster, 2), 20)
+        assert await settle(lambda: on_machines(cluster, 1) == 3, 30), "its work did not go on"
+        await asyncio.sleep(10)
+        assert (on_machines(cluster, 1), on_machines(cluster, 2)) == (3, 0)
+        assert not cluster.broken
+    finally:
+        await cluster.stop()
+
+
+@pytest.mark.parametrize("who", ["all controllers", "machines that are mute"])
+def test_out_of_touch_for_longer_than_a_lease(who: str) -> None:
+    play(_out_of_touch(who))
+
+
+async def _ten_changes(*, outage: bool) -> None:
+    """Of the leader in two minutes; the state service is out during three of them, or is not."""
+    cluster = await started(30, jobs=2, spare=True)
+    terms: set[int] = set()
+    try:
+        for change in range(10):
+            leader, _ = leader_and_others(cluster)
+            cluster.state.down = outage and 3 <= change < 6
+            await cluster.restart(leader, 0.4)
+            await asyncio.sleep(9)
+            terms.add(cluster.state.keys["gs/term"][0]["term"])
+        assert len(terms) >= (7 if outage else 10)
+        assert await settle(lambda: on_machines(cluster, 1) == on_machines(cluster, 2) == 3, 30)
+        if not outage:
+            assert set(cluster.cloud.started.values()) == {1}, "work was lost"
+        assert not cluster.broken
+    finally:
+        await cluster.stop()
+
+
+@pytest.mark.parametrize("outage", [False, True], ids=["the state service is well", "in an outage"])
+def test_ten_changes_of_leader_in_two_minutes(outage: bool) -> None:
+    play(_ten_changes(outage=outage))
+
+
+async def _zone_cut_off(*, with_leader: bool) -> None:
+    """With workers and a controller, for three leases; jobs on the zone's and on other machines are cancelled."""
+    cluster = Cluster(3600, 12, clock=SimulatedClock(), zones=("a", "b"))
+    cluster.cloud.startup_s, cluster.idle_return_s = 60.0, 600.0
+    cluster.start()
+    try:
+        for number, hall in enumerate(["a", "a", "b", None, "b"], 1):
+            assert await settle(lambda number=number, hall=hall: cluster.accepts("n0", number, Hall=hall), 10)
+        assert await settle(lambda: len(cluster.cloud.tasks()) == 15, 30)
+        leader, others = leader_and_others(cluster)
+        inside = leader if with_leader else others[0]
+        outside = [name for name in NAMES if name != inside]
+        cluster.state.refused, cluster.apart = {inside}, {inside}
+        for worker in cluster.cloud.workers.values():
+            worker.reaches = {inside} if worker.zone == "a" else set(outside)
+            worker.unordered = worker.zone == "a"
+        await asyncio.sleep(0.5)
+        for number in (1, 3, 4):
+            assert await settle(lambda number=number: _cancelled(cluster, number, outside[-1]), 20)
+        await asyncio.sleep(3 * LEASE)
+        cluster.state.refused, cluster.apart = set(), set()
+        for worker in cluster.cloud.workers.values():
+            worker.reaches, worker.unordered = set(NAMES), False
+        assert await settle(lambda: on_machines(cluster, 2) == on_machines(cluster, 5) == 3, 40), "work did not go on"
+        await asyncio.sleep(10)
+        assert len(cluster.cloud.tasks()) == 6
+        assert not cluster.broken
+    finally:
+        await cluster.stop()
+
+
+@pytest.mark.parametrize("with_leader", [True, False], ids=["with the leader", "with another controller"])
+def test_a_zone_is_cut_off_for_longer_than_a_lease(with_leader: bool) -> None:
+    play(_zone_cut_off(with_leader=with_leader))
+
+
+async def _bound_to_a_zone() -> None:
+    """Arrays and gangs that may run in one zone only, or in one at a time, lose machines again and again."""
+    cluster = Cluster(8.0, 12, clock=SimulatedClock(), zones=("a", "b", "c"), limits={"red": 60.0})
+    users = Users(cluster, Random(3))
+    random = Random(8)
+    cluster.start()
+    try:
+        for number in range(1, 10):
+            spec = job(
+                number,
+                Pieces=random.randint(2, 5),
+                Shape="gang" if number % 3 == 0 else "batch",
+                Hall=random.choice(["a", "b", None]),
+                SamePlace=number % 2 == 0,
+                Loaners=number % 4 != 0,
+                GuessS=8.0,
+            )
+            users.specs[spec["Ref"]] = cluster.cloud.jobs[spec["Ref"]] = spec
+            users.lives.append(asyncio.ensure_future(users.live(spec, number * 0.5, None)))
+        for _ in range(6):
+            await asyncio.sleep(4)
+            for worker in list(cluster.cloud.workers.values()):
+                if worker.tasks and random.random() < 0.3:
+                    cluster.cloud.dies(worker.name)
+            if random.random() < 0.4:
+                leader, _ = leader_and_others(cluster)
+                await cluster.restart(leader, 0.3)
+        await asyncio.wait_for(asyncio.gather(*users.lives), 200)
+        assert set(users.told.values()) == {"done"}
+        assert not cluster.broken
+    finally:
+        await cluster.stop()
+
+
+def test_jobs_bound_to_one_zone_lose_machines() -> None:
+    play(_bound_to_a_zone())
+
+
+async def _more_work_than_room() -> None:
+    """Urgent work and other, three times what the teams' limits take at once, over slow links to the state service."""
+    cluster = Cluster(4.0, 12, clock=SimulatedClock(), limits={"red": 32.0, "blue": 24.0})
+    users = Users(cluster, Random(6))
+    random = Random(9)
+    cluster.state.slow = lambda: random.uniform(0, 0.25)
+    cluster.start()
+    try:
+        for number in range(1, 41):
+            spec = job(
+                number,
+                Crew="red" if number % 3 else "blue",
+                Urgency="urgent" if number % 2 else "standard",
+                Pieces=random.randint(1, 6),
+                GuessS=random.uniform(2, 6),
+            )
+            users.specs[spec["Ref"]] = cluster.cloud.jobs[spec["Ref"]] = spec
+            users.lives.append(asyncio.ensure_future(users.live(spec, random.uniform(0, 20), None)))
+        for _ in range(3):
+            await asyncio.sleep(8)
+            leader, _ = leader_and_others(cluster)
+            await cluster.restart(leader, 0.3)
+        users.over = users.now()
+        watch = asyncio.ensure_future(users.watch_waiting())
+        await asyncio.wait_for(asyncio.gather(*users.lives), 240)
+        watch.cancel()
+        assert list(users.told.values()) == ["done"] * 40
+        assert not cluster.broken
+    finally:
+        await cluster.stop()
+
+
+def test_more_work_than_room_over_slow_links() -> None:
+    play(_more_work_than_room())
--- a/tests/test_more_meetings.py
+++ b/tests/test_more_meetings.py
@@ -61,14 +61,10 @@
     _over_before(cluster, 2100)
     cluster.start()
 
-    async def submit(number: int, node: str = "n0", **changes: Any) -> bool:
-        status, _ = await cluster.ask(node, "POST", "/v1/jobs", job(number, **changes))
-        return status in (200, 201)
-
     try:
         for number in (1, 2):
-            assert await settle(lambda number=number: submit(number, Hall="a"), 10)
-        assert await settle(lambda: submit(9, Hall="b", Crew="blue"), 10)  # leaves room in zone b
+            assert await settle(lambda number=number: cluster.accepts("n0", number, Hall="a"), 10)
+        assert await settle(lambda: cluster.accepts("n0", 9, Hall="b", Crew="blue"), 10)  # leaves room in zone b
         assert await settle(lambda: len(cluster.cloud.tasks()) == 9, 30), "the limit is not used up"
         assert await settle(lambda: _cancelled(cluster, 9), 10)
         await asyncio.sleep(2)
@@ -83,7 +79,7 @@
         assert cancelled
         for worker in cancelled:
             _as_it_comes_to(worker, successor, lambda worker: worker.hang(3.0))
-        assert await settle(lambda: submit(3, successor, Hall="b"), 10)
+        assert await settle(lambda: cluster.accepts(successor, 3, Hall="b"), 10)
         await asyncio.sleep(8)
         cluster.state.refused, cluster.apart = set(), set()
         await asyncio.sleep(20)
