--- a/gingerspar/coordination/books/book.py
+++ b/gingerspar/coordination/books/book.py
@@ -42,6 +42,8 @@
 LEAST_START = timedelta(seconds=2)  # from a place to a running task, at the least
 MUCH_LATER = 1e7  # seconds, more than any deadline is ahead
 UNDUE = 1e12  # seconds, later than all deadlines
+PAID_AT_LEAST = timedelta(seconds=60)  # a machine that is given back sooner costs as much (PROTOCOL, price)
+ROUNDING = 1e-6  # of sums that are added to and taken from
 MOST_KINDS = 2000  # of task, whose prices are remembered
 _COUNTED = (TaskState.RUNNING, TaskState.SAVING)  # shown to users as running
 
@@ -114,6 +116,8 @@
     ) -> Machine:
         kind = self.types.get(type_name)
         machine = Machine(name, type_name, zone, spot, state, now, kind=kind, rostered=rostered)
+        if state is MachineState.BOOTING:
+            machine.paid_until = now + PAID_AT_LEAST
         self.pool.add(machine)
         return machine
 
@@ -445,3 +449,11 @@
             gpus = used.gpus + unsettled.gpus + unsettled.unknown * team.gpus_max
             room = min(room, int((team.gpus_max - gpus) / spec.gpus + 1e-9))
         return max(room, 0)
+
+    def team_lacks(self, spec: JobSpec) -> tuple[float, float]:
+        """Processors and accelerators that the limit leaves too little for all tasks of a job at once."""
+        team = self.teams[spec.team]
+        used = self.usage[spec.team]
+        cpus = used.cpus + spec.tasks * spec.cpus - team.cpus_max if team.cpus_max and spec.cpus else 0.0
+        gpus = used.gpus + spec.tasks * spec.gpus - team.gpus_max if team.gpus_max and spec.gpus else 0.0
+        return cpus - ROUNDING, gpus - ROUNDING
--- a/gingerspar/coordination/books/runs.py
+++ b/gingerspar/coordination/books/runs.py
@@ -61,6 +61,7 @@
     seen_open: int = 0  # open tasks when a pass last compared it with all machines
     booked: dict[Machine, int] = field(default_factory=dict)  # room that is kept for a gang
     booked_since: timedelta | None = None
+    limit_kept_since: timedelta | None = None  # since when what its team's limit leaves is kept for a gang
     room_sought: timedelta | None = None  # when work was last looked at that could make room
     order: Order = field(init=False)  # changes only through ``Backlog.reorder``
     lateness: int = 0
--- a/gingerspar/coordination/machines/fleet.py
+++ b/gingerspar/coordination/machines/fleet.py
@@ -21,6 +21,7 @@
 FIRST_REFUSAL = timedelta(seconds=4)
 MOST_REFUSAL = timedelta(seconds=30)
 LEAST_PATIENCE = 0.1  # of the boot time, for machines that nothing here needs
+LEAST_TRADE = timedelta(seconds=20)  # a third of the minute that a rental costs at the least
 SPARE_FOR = 0.5  # of the time that a machine may idle, for as many as were never in use at once
 WARMTH = 4  # fetches of an urgent class's image that a cheap machine is kept for
 DEAR = 3.0  # times the price of a place on the cheapest machine
@@ -251,8 +252,9 @@
     """How long a machine may idle.
 
     Giving it back too soon wastes one boot, keeping it wastes the time kept: its boot
-    time is the even trade. A machine whose places cost more than another ordinary
-    machine's is the less likely to be needed again.
+    time is the even trade, or if that is short a part of the minute that its successor
+    costs. A machine whose places cost more than another ordinary machine's is the less
+    likely to be needed again.
     """
     best = 0.0
     warm = timedelta(0)
@@ -266,7 +268,9 @@
             if spec.priority.rank <= Priority.HIGH.rank and share > 0.9 and spec.image:
                 # Urgent work would wait for its images on a machine rented anew.
                 warm = max(warm, timedelta(seconds=spec.image_gb / max(kind.fetch_gb_per_s, 1e-3)))
-    return min(most, timedelta(seconds=kind.boot_s) * max(best * best, LEAST_PATIENCE) + warm * WARMTH)
+    return min(
+        most, max(timedelta(seconds=kind.boot_s), LEAST_TRADE) * max(best * best, LEAST_PATIENCE) + warm * WARMTH
+    )
 
 
 class Spare:
@@ -315,7 +319,9 @@
         back = [
             machine
             for place, machine in enumerate(machines)
-            if machine.idle_since is not None and (place < most or now - machine.idle_since >= longest)
+            if machine.idle_since is not None
+            and (machine.paid_until is None or now >= machine.paid_until)
+            and (place < most or now - machine.idle_since >= longest)
         ]
         if back and (kind is None or not _needed(book, offer, kind, now)):
             spare.given_back(offer, len(back))
--- /dev/null
+++ b/gingerspar/coordination/placing/limits.py
@@ -0,0 +1,84 @@
+"""Room within a team's limit for its gangs, which need much of it at once."""
+
+import logging
+from datetime import timedelta
+
+from gingerspar.coordination.books.book import Book
+from gingerspar.coordination.books.ledger import Placement
+from gingerspar.coordination.books.runs import JobRun
+from gingerspar.coordination.placing.room import (
+    KEEP_AT_MOST,
+    KEEP_PAUSE,
+    PREEMPT_AFTER,
+    SEEK_AGAIN,
+    lost_work,
+    stop_for_others,
+)
+
+log = logging.getLogger(__name__)
+
+
+class LimitKeeper:
+    """Keeps for a gang what its team's tasks leave of the limit, and stops less urgent ones of them.
+
+    Tasks of arrays took piece by piece what ended. On vatuloa-grep with a limit of half of the machines, urgent gangs
+    waited for minutes while their team's routine work went on.
+    """
+
+    def __init__(self, book: Book) -> None:
+        self._book = book
+        self._first: dict[str, JobRun] = {}  # by team: the gang that comes first of those that wait for its limit
+
+    def begin(self) -> None:
+        """To be called at the beginning of each pass."""
+        self._first = {}
+
+    def keeps_from(self, run: JobRun) -> bool:
+        """Whether what is left of its team's limit is kept for a gang that goes before it."""
+        return self._first.get(run.spec.team, run) is not run
+
+    def wait(self, run: JobRun, now: timedelta) -> None:
+        """The gang finds less left than it needs. What comes after it in the pass takes nothing of it, for a while."""
+        if self.keeps_from(run) or self._book.pool.unsettled.names:
+            return  # unsettled machines count as full of the team's work: that passes by itself
+        if run.waiting_since is None or now - run.waiting_since < PREEMPT_AFTER:
+            return
+        if run.limit_kept_since is None:
+            run.limit_kept_since = now
+        kept = now - run.limit_kept_since
+        if kept > KEEP_AT_MOST and self._book.first_gang(now) is not run:
+            if kept < KEEP_AT_MOST + KEEP_PAUSE:
+                return  # it had its time: others must not starve for it
+            run.limit_kept_since = now
+        self._first[run.spec.team] = run
+        if run.room_sought is None or now - run.room_sought >= SEEK_AGAIN:
+            run.room_sought = now
+            self._stop_less_urgent(run, now)
+
+    def _stop_less_urgent(self, run: JobRun, now: timedelta) -> None:
+        """As many of the team's less urgent tasks as make the gang fit, what loses least first; or none."""
+        spec = run.spec
+        theirs = [
+            placement
+            for other in self._book.runs.values()
+            if other.spec.team == spec.team and other.places
+            for placement in other.live
+        ]
+        cpus, gpus = self._book.team_lacks(spec)
+        for placement in theirs:
+            if placement.stop is not None:
+                cpus, gpus = cpus - placement.spec.cpus, gpus - placement.spec.gpus
+        victims = [placement for placement in theirs if placement.stop is None and placement.rank > spec.priority.rank]
+        victims.sort(key=lambda placement: (lost_work(placement, now), placement.name))
+        chosen: list[Placement] = []
+        for victim in victims:
+            if cpus <= 0 and gpus <= 0:
+                break
+            if (cpus > 0 and victim.spec.cpus > 0) or (gpus > 0 and victim.spec.gpus > 0):
+                chosen.append(victim)
+                cpus, gpus = cpus - victim.spec.cpus, gpus - victim.spec.gpus
+        if cpus > 0 or gpus > 0 or not chosen:
+            return
+        log.info("team %s is at its limit: stopping %d tasks for %s", spec.team, len(chosen), spec.job)
+        for victim in chosen:
+            stop_for_others(self._book, victim, now)
--- a/gingerspar/coordination/placing/placer.py
+++ b/gingerspar/coordination/placing/placer.py
@@ -10,6 +10,7 @@
 from gingerspar.coordination.books.runs import Family, GangState, JobRun, Least
 from gingerspar.coordination.books.service import FIRST
 from gingerspar.coordination.placing import placement as placing
+from gingerspar.coordination.placing.limits import LimitKeeper
 from gingerspar.coordination.placing.room import RoomMaker
 from gingerspar.protocol.messages import JobSpec, Priority
 from gingerspar.storage.records import Order
@@ -80,6 +81,7 @@
     def __init__(self, book: Book) -> None:
         self._book = book
         self._room = RoomMaker(book)
+        self._limits = LimitKeeper(book)
         self._gained = Gained([])  # what the walk under way compares runs with
         self._walked: Order | None = None  # up to here
         self._looked_again = timedelta(0)
@@ -105,6 +107,7 @@
         if not gained.names and not backlog.unseen:
             return True
         self._found, self._barren = {}, {}
+        self._limits.begin()
         until = pool.looked_at + MOST_LOOKS
         gained.sum_up()
         helped = self._helped(gained)
@@ -151,7 +154,11 @@
         """Places what can be placed; ``among``: only these machines are new to it."""
         team_room = self._book.team_room(run.spec)
         if team_room < (run.spec.tasks if run.gangs else 1):
+            if run.gangs:
+                self._limits.wait(run, now)
             return  # stays as it is: room in the team, not on machines, is what it waits for
+        if self._limits.keeps_from(run):
+            return
         if run.gangs:
             own = among is not None and any(machine.name in among.names for machine in run.booked)
             if among is None or own or self._room.due(run, now) or self._usable(run, among):
@@ -243,7 +250,7 @@
         if found is None:
             self._room.make(run, now)
             return
-        run.booked_since = None
+        run.booked_since = run.limit_kept_since = None
         if run.record.attempt <= run.used_attempt:
             counts: dict[Machine, int] = {}
             for machine in found:
--- a/gingerspar/coordination/placing/room.py
+++ b/gingerspar/coordination/placing/room.py
@@ -164,13 +164,7 @@
             log.info("making room for %s on %d machines by stopping tasks of %s", run.spec.job, len(room), stopped)
         for slot in slots:
             for victim in slot.victims:
-                if victim.stop is None and victim.live:
-                    grace = victim.spec.save_time if victim.spec.checkpoint_s else NO_GRACE
-                    theirs = self._book.runs[victim.job]
-                    if theirs.gangs:
-                        self._book.stop_run(theirs, grace, now)
-                    else:
-                        self._book.stop(victim, grace, now)
+                stop_for_others(self._book, victim, now)
 
     def _could_fit(self, run: JobRun) -> bool:
         """Whether the machines there are would hold the gang if they were empty."""
@@ -208,6 +202,17 @@
         return found
 
 
+def stop_for_others(book: Book, victim: Placement, now: timedelta) -> None:
+    """Stops a task to make room, its gang with it; it saves if it can."""
+    if victim.stop is None and victim.live:
+        grace = victim.spec.save_time if victim.spec.checkpoint_s else NO_GRACE
+        theirs = book.runs[victim.job]
+        if theirs.gangs:
+            book.stop_run(theirs, grace, now)
+        else:
+            book.stop(victim, grace, now)
+
+
 def _best_zone(slots: list[Slot], count: int) -> list[Slot]:
     """The slots of one zone: where ``count`` of them lose least, or else where there are most."""
     zones: dict[str, list[Slot]] = {}
--- a/tests/tracing.py
+++ b/tests/tracing.py
@@ -91,7 +91,7 @@
                 zones=("a", "b"),
                 cache_gb=60,
                 price=float(given.get("price", 1)),
-                boot_s=20,
+                boot_s=float(given.get("boot", 20)),
             )
         )
         self.dispatcher.set_types(self.types)
