--- a/gingerspar/coordination/placing/limits.py
+++ b/gingerspar/coordination/placing/limits.py
@@ -11,6 +11,7 @@
     KEEP_PAUSE,
     PREEMPT_AFTER,
     SEEK_AGAIN,
+    RoomMaker,
     lost_work,
     stop_for_others,
 )
@@ -25,8 +26,9 @@
     waited for minutes while their team's routine work went on.
     """
 
-    def __init__(self, book: Book) -> None:
+    def __init__(self, book: Book, room: RoomMaker) -> None:
         self._book = book
+        self._room = room
         self._first: dict[str, JobRun] = {}  # by team: the gang that comes first of those that wait for its limit
 
     def begin(self) -> None:
@@ -41,6 +43,10 @@
         """The gang finds less left than it needs. What comes after it in the pass takes nothing of it, for a while."""
         if self.keeps_from(run) or self._book.pool.unsettled.names:
             return  # unsettled machines count as full of the team's work: that passes by itself
+        cpus, gpus = self._book.team_lacks(run.spec)
+        used = self._book.usage[run.spec.team]
+        if cpus > used.cpus or gpus > used.gpus:
+            return  # the limit was lowered since: it can never run
         if run.waiting_since is None or now - run.waiting_since < PREEMPT_AFTER:
             return
         if run.limit_kept_since is None:
@@ -53,7 +59,8 @@
         self._first[run.spec.team] = run
         if run.room_sought is None or now - run.room_sought >= SEEK_AGAIN:
             run.room_sought = now
-            self._stop_less_urgent(run, now)
+            if self._room.could_fit(run):
+                self._stop_less_urgent(run, now)
 
     def _stop_less_urgent(self, run: JobRun, now: timedelta) -> None:
         """As many of the team's less urgent tasks as make the gang fit, what loses least first; or none."""
--- a/gingerspar/coordination/placing/placer.py
+++ b/gingerspar/coordination/placing/placer.py
@@ -81,7 +81,7 @@
     def __init__(self, book: Book) -> None:
         self._book = book
         self._room = RoomMaker(book)
-        self._limits = LimitKeeper(book)
+        self._limits = LimitKeeper(book, self._room)
         self._gained = Gained([])  # what the walk under way compares runs with
         self._walked: Order | None = None  # up to here
         self._looked_again = timedelta(0)
--- a/gingerspar/coordination/placing/room.py
+++ b/gingerspar/coordination/placing/room.py
@@ -70,7 +70,7 @@
             own[zone] = own.get(zone, 0) + count
         if any(places.all + own.get(zone, 0) >= spec.tasks for zone, places in need.sums()):
             return False
-        if run.booked_since is None and self._ripe(run, now) and self._could_fit(run):
+        if run.booked_since is None and self._ripe(run, now) and self.could_fit(run):
             run.booked_since = now  # its time to keep room has begun, though there is none yet
         return True
 
@@ -101,7 +101,7 @@
         if any(places.all >= spec.tasks for _, places in need.sums()):
             slots = self._slots(run, need, now)
             self._take(run, slots[: spec.tasks], now)
-        elif self._could_fit(run):
+        elif self.could_fit(run):
             slots = self._slots(run, need, now) if need.free else []
             self._take(run, [slot for slot in slots if not slot.victims], now)
 
@@ -166,7 +166,7 @@
             for victim in slot.victims:
                 stop_for_others(self._book, victim, now)
 
-    def _could_fit(self, run: JobRun) -> bool:
+    def could_fit(self, run: JobRun) -> bool:
         """Whether the machines there are would hold the gang if they were empty."""
         spec = run.spec
         zones: dict[str, int] = {}
