--- a/gingerspar/coordination/placing/limits.py
+++ b/gingerspar/coordination/placing/limits.py
@@ -18,6 +18,10 @@
 
 log = logging.getLogger(__name__)
 
+# So long what ends by itself is waited for. Without, each urgent gang threw away some forty routine tasks of 25 s, of
+# which five ended every 40 ms: 5,883 of 12,405 were lost (vatuloa-grep-hunt calm with a limit of two thirds).
+STOP_AFTER = timedelta(seconds=5)
+
 
 class LimitKeeper:
     """Keeps for a gang what its team's tasks leave of the limit, and stops less urgent ones of them.
@@ -75,7 +79,7 @@
                 return  # it had its time: others must not starve for it
             run.limit_kept_since = now
         self._first[run.spec.team] = run
-        if run.room_sought is None or now - run.room_sought >= SEEK_AGAIN:
+        if kept >= STOP_AFTER and (run.room_sought is None or now - run.room_sought >= SEEK_AGAIN):
             run.room_sought = now
             if self._room.could_fit(run):
                 self._stop_less_urgent(run, now)
