Stand-in of a worker: going where it is sent takes time

Two controllers that sent a worker to each other until their next heartbeat kept it busy for good at one moment of simulated time: test_more_work_than_room hung once in three runs, beside other load. No check is changed.

--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -20,6 +20,7 @@
 CPUS = 8.0
 LEASE = 4.0
 GIVES_UP = 4.0
+HOP = 0.02  # seconds from one controller to the one that it has named
 
 
 # Below those that the system gives to clients, which would take one between its choice and its use; each process
@@ -180,6 +181,9 @@
             return True
         if status == 421 and got.get("Foreman") in self.cloud.controllers and got["Foreman"] != self.node:
             self.node = got["Foreman"]
+            # Each step takes some time: two controllers that send it to each other, until their next heartbeat, would
+            # keep it busy for good at one moment of simulated time.
+            await asyncio.sleep(HOP)
             self.changed.set()
         else:
             self.node = self.nodes[(self.nodes.index(self.node) + 1) % len(self.nodes)]
