Machines are not kept for the whole minute that they cost: taken back

Change: taken back with its trace; test_fleet is as it was before. Where boots are short machines still idle for up to 20 s (tests/traces/quick_boots, which gives q1 back at 14 s without it).

--- a/gingerspar/coordination/books/book.py
+++ b/gingerspar/coordination/books/book.py
@@ -42,7 +42,6 @@
 LEAST_START = timedelta(seconds=2)  # from a place to a running task, at the least
 MUCH_LATER = 1e7  # seconds, more than any deadline is ahead
 UNDUE = 1e12  # seconds, later than all deadlines
-PAID_AT_LEAST = timedelta(seconds=60)  # a machine that is given back sooner costs as much (PROTOCOL, price)
 NOTHING_USED = Usage()
 ROUNDING = 1e-6  # of sums that are added to and taken from
 MOST_KINDS = 2000  # of task, whose prices are remembered
@@ -117,8 +116,6 @@
     ) -> Machine:
         kind = self.types.get(type_name)
         machine = Machine(name, type_name, zone, spot, state, now, kind=kind, rostered=rostered)
-        if state is MachineState.BOOTING:
-            machine.paid_until = now + PAID_AT_LEAST
         self.pool.add(machine)
         return machine
 
--- a/gingerspar/coordination/books/ledger.py
+++ b/gingerspar/coordination/books/ledger.py
@@ -233,7 +233,6 @@
     shown: int = 0  # the last session in which it has shown this leader's token
     hearing: Hearing = field(init=False)
     rostered: bool = False
-    paid_until: timedelta | None = None  # what its rental costs at the least covers so long, as far as is known
     notice: timedelta | None = None  # when the cloud takes it away
     live: dict[tuple[str, int, int], Placement] = field(default_factory=dict)
     exited: dict[tuple[str, int, int], Cause | None] = field(default_factory=dict)
--- a/gingerspar/coordination/machines/fleet.py
+++ b/gingerspar/coordination/machines/fleet.py
@@ -324,9 +324,7 @@
         back = [
             machine
             for place, machine in enumerate(machines)
-            if machine.idle_since is not None
-            and (machine.paid_until is None or now >= min(machine.paid_until, machine.idle_since + patience))
-            and (place < most or now - machine.idle_since >= longest)
+            if machine.idle_since is not None and (place < most or now - machine.idle_since >= longest)
         ]
         if back and (kind is None or not _needed(book, offer, kind, now)):
             spare.given_back(offer, len(back))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -43,8 +43,6 @@
         "at 2 report m1 seq=3",
     ):
         player.play(line)
-    for machine in player.dispatcher.machines.values():
-        machine.paid_until = player.now  # the minute that each costs in any case is over
     spare = fleet.Spare()
     for second in range(2, 11):
         player.play(f"at {second} report m2 seq={second + 2}")
