--- a/gingerspar/coordination/placing/limits.py
+++ b/gingerspar/coordination/placing/limits.py
@@ -62,8 +62,8 @@
         return self._first.get(run.spec.team, run) is not run
 
     def wait(self, run: JobRun, now: timedelta) -> None:
-        """The gang finds less left than it needs. What comes after it in the pass takes nothing of it, for a while."""
-        if self.keeps_from(run) or self._book.pool.unsettled.names:
+        """The gang, not in vain, finds less left than it needs. What comes after it takes nothing for a while."""
+        if self._book.pool.unsettled.names:
             return  # unsettled machines count as full of the team's work: that passes by itself
         if run.spec.team not in self._book.teams:
             return  # it is not in the settings any more: it can't run
