Log each transaction that the state service rejects for good

Change: a Rejected error, a subclass of Unavailable, so that all writers behave as before; each is logged at error level with reason, bytes, keys and a running count.

--- a/gingerspar/storage/client.py
+++ b/gingerspar/storage/client.py
@@ -1,5 +1,6 @@
 """Client of the state service; each call returns a result or raises an exception that tells whether it was executed."""
 
+import logging
 from datetime import timedelta
 from urllib.parse import quote
 
@@ -8,6 +9,9 @@
 from gingerspar.transport.client import Client, NoAnswer
 from gingerspar.transport.clock import Clock
 
+log = logging.getLogger(__name__)
+
+MAX_LOGGED_KEYS = 4  # of a rejected transaction
 # Usually the service answers within 10 ms, sometimes after a few hundred. A transaction without an answer by then may
 # still be executed, so its sender reads the state and repeats the transaction if necessary. Each transaction is
 # conditional, so at most one of the repetitions takes effect.
@@ -18,6 +22,10 @@
     """The request was not executed: the service answered 429, 503 or another unexpected status."""
 
 
+class Rejected(Unavailable):
+    """The transaction was not executed and never will be as it is: sending it again changes nothing."""
+
+
 class OutcomeUnknown(Exception):
     """No answer arrived: the request may have been executed, or may still be executed.
 
@@ -76,6 +84,7 @@
         self._txn_ops = txn_ops
         self.max_conditions = 4 * txn_ops  # per transaction
         self.value_bytes = value_bytes
+        self.rejected_count = 0  # transactions that the service has rejected since this process started
 
     @property
     def max_puts(self) -> int:
@@ -158,13 +167,14 @@
     ) -> int:
         """Executes the transaction and returns the revision of its writes.
 
-        Raises ``Conflict``, ``LeaseExpired``, ``Unavailable``, or ``OutcomeUnknown`` if no answer arrives within
-        ``timeout``, which starts once the budgets allow the request.
+        Raises ``Conflict``, ``LeaseExpired``, ``Rejected``, ``Unavailable``, or ``OutcomeUnknown`` if no answer arrives
+        within ``timeout``, which starts once the budgets allow the request.
         """
+        body = messages.encode(transaction)
         await self._requests.acquire(1, urgency)
         if transaction.writes:
             await self._writes.acquire(len(transaction.writes), urgency)
-        status, answer = await self._call("POST", names.PATH_COMMIT, messages.encode(transaction), timeout)
+        status, answer = await self._call("POST", names.PATH_COMMIT, body, timeout)
         if status == 200:
             return messages.decode(messages.Committed, answer).revision
         if status == 409:
@@ -172,8 +182,22 @@
             raise Conflict(refused.failed, refused.revision)
         if status == 400 and b"no such lease" in answer:
             raise LeaseExpired
+        if 400 <= status < 500:
+            raise self._rejected(transaction, len(body), f"{status} {answer[:200]!r}")
         raise Unavailable(f"commit: {status} {answer[:200]!r}")
 
+    def _rejected(self, transaction: messages.Transaction, size: int, reason: str) -> Rejected:
+        """Counts and logs a rejected transaction; returns the error to raise."""
+        self.rejected_count += 1
+        keys = [write.key for write in transaction.writes]
+        more = f" and {len(keys) - MAX_LOGGED_KEYS} more" if len(keys) > MAX_LOGGED_KEYS else ""
+        log.error(
+            "transaction rejected, %d since the start: %s; %d changes, %d conditions, %d bytes: %s%s",
+            self.rejected_count, reason, len(keys), len(transaction.conditions), size,
+            " ".join(keys[:MAX_LOGGED_KEYS]), more,
+        )  # fmt: skip
+        return Rejected(f"commit: {reason}")
+
     async def grant(self, ttl: timedelta) -> int:
         """Creates a lease and returns its number.
 
