Keep every transaction within the service's limits, and let no rejected record hold up others

Claims, releases and results had the same gap, submissions and the roster had bounds of their own, and a 400 was treated like a passing outage.

No conflict, no wait for the budget and no old view, which were the other explanations.

Change: storage/transactions.py holds the limits, and commit refuses what exceeds them. A transaction that is rejected all the same is split (commit_in_parts); an item that is rejected alone is logged and skipped for 5 s, then twice as long each time, up to 2 min. A bitmap in chunks is written as far as it fits. A description that can't be stored gets 400 instead of 503 for ever, and one that leaves no room for the bitmap moves it to chunks. claims.py is split: record_changes.py, claimed_resources.py, record_writer.py. The project's stand-in of the state service now enforces the limits, in every test.

--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -13,6 +13,7 @@
 from gingerspar.coordination.jobs.claims import ClaimManager
 from gingerspar.coordination.jobs.job_api import JobApi, error_answer
 from gingerspar.coordination.jobs.reconciler import Reconciler
+from gingerspar.coordination.jobs.record_writer import RecordWriter
 from gingerspar.coordination.jobs.relay import RequestRelay
 from gingerspar.coordination.leader.dispatcher import Dispatcher
 from gingerspar.coordination.leader.leader_runtime import LeaderRuntime, max_hold_duration
@@ -77,8 +78,9 @@
         self._view = WatchedView(self._client, self._clock, rps=facts.state.rps, nodes=facts.size)
         self._session = Session(self._node, self._client, self._view, self._clock, operator.session_ttl)
         job_order = JobOrder(facts.objectives)
+        record_writer = RecordWriter(self._client, self._view, self._session, self._clock)
         self._claims = ClaimManager(
-            self._node, self._client, self._view, self._session, self._clock, teams, operator, job_order
+            self._node, self._client, self._view, self._session, self._clock, teams, operator, job_order, record_writer
         )
         self._job_api = JobApi(self._client, self._view, self._claims, self._clock, teams)
         self._cloud = CloudClient(settings.services.cloud, self._clock, facts.cloud.rps)
@@ -117,7 +119,7 @@
             self._random,
         )
         self._reconciler = Reconciler(
-            self._client, self._view, self._session, self._term_manager.is_dispatching, operator.sweep_batch
+            self._view, self._session, record_writer, self._term_manager.is_dispatching, operator.sweep_batch
         )
         self._view.on_term.append(self._term_changed)
         self._claims.leader_reachable = self._leader_reachable
--- a/gingerspar/coordination/jobs/claims.py
+++ b/gingerspar/coordination/jobs/claims.py
@@ -8,19 +8,21 @@
 import asyncio
 import logging
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from datetime import timedelta
 
-import msgspec
 from sortedcontainers import SortedDict
 
 from gingerspar.coordination.cluster.job_order import JobOrder
+from gingerspar.coordination.jobs.claimed_resources import ClaimedResources
+from gingerspar.coordination.jobs.record_changes import RecordChange, claimed, released, with_results
+from gingerspar.coordination.jobs.record_writer import RecordWriter, WriteStatus
 from gingerspar.coordination.membership.session import Session
-from gingerspar.protocol.messages import JobStatus, KeyVersion, Put, Shape, Transaction
+from gingerspar.protocol.messages import JobStatus, KeyVersion
 from gingerspar.protocol.settings import OperatorSettings, TeamFacts
 from gingerspar.storage import records
 from gingerspar.storage.budgets import Urgency
-from gingerspar.storage.client import Conflict, LeaseExpired, OutcomeUnknown, StateClient, Unavailable
+from gingerspar.storage.client import StateClient
 from gingerspar.storage.records import JobRecord
 from gingerspar.storage.view import Versioned, WatchedView
 from gingerspar.transport.clock import Clock
@@ -33,145 +35,12 @@
 # A record that has been claimable for this long may be claimed by a node that did not accept it.
 FALLBACK_CLAIM_DELAY = timedelta(seconds=1)
 ZERO_DURATION = timedelta(0)
-ROUNDING_TOLERANCE = 1e-6  # rounding error of totals after many additions and subtractions
 # Each further node in the record's fallback order waits this much longer than the one before it.
 FALLBACK_CLAIM_INTERVAL = timedelta(seconds=3)
 # A claimant that has not reached the leader for this long releases its claims.
 RELEASE_AFTER = timedelta(seconds=4)
 
 
-class RecordChange(msgspec.Struct):
-    """A new version of a job record that is to be written."""
-
-    job: str
-    base_version: int  # the version that it replaces
-    record: JobRecord
-    chunks: list[tuple[str, msgspec.Raw]] = []  # keys and values of the finished-task chunks to write with it
-
-
-def claimed(entry: Versioned, claimant: records.Claimant, term: int) -> JobRecord:
-    """The record with a new claim: pending becomes running, and the attempt goes up by one."""
-    record = entry.record
-    return msgspec.structs.replace(
-        record,
-        status=JobStatus.RUNNING,
-        attempt=record.attempt + 1,
-        claimant=claimant,
-        first_term=record.first_term or term,
-        claim_term=term,
-    )
-
-
-def released(entry: Versioned) -> JobRecord:
-    """The record without its claim: running becomes pending, and the attempt is unchanged."""
-    return msgspec.structs.replace(entry.record, status=JobStatus.PENDING, claimant=None)
-
-
-def cancelled(entry: Versioned) -> JobRecord:
-    """The final record of a cancelled job, without claimant and finished tasks."""
-    return msgspec.structs.replace(entry.record, status=JobStatus.CANCELLED, claimant=None, finished="", spilled=False)
-
-
-def with_results(entry: Versioned, tasks: set[int], value_bytes: int) -> RecordChange | None:
-    """The record with newly finished tasks, or None if it shows all of them already.
-
-    The job becomes done only once all its tasks are finished; a service never does.
-    """
-    record = entry.record
-    finished = entry.finished.copy()
-    new_tasks = [number for number in tasks if finished.add(number)]
-    if not new_tasks:
-        return None
-    if finished.full and record.spec.shape is not Shape.SERVICE:
-        done = msgspec.structs.replace(record, status=JobStatus.DONE, claimant=None, finished="", spilled=False)
-        return RecordChange(record.spec.job, entry.version, done)
-    if not records.must_spill(record.spec.tasks, value_bytes):
-        return RecordChange(record.spec.job, entry.version, msgspec.structs.replace(record, finished=finished.text()))
-    chunk_size = records.chunk_bytes(value_bytes)
-    chunks = [
-        (
-            records.finished_key(record.spec.job, chunk),
-            records.pack(records.ChunkRecord(finished.text(chunk * chunk_size, chunk_size))),
-        )
-        for chunk in sorted({number // (8 * chunk_size) for number in new_tasks})
-    ]
-    return RecordChange(record.spec.job, entry.version, msgspec.structs.replace(record, spilled=True), chunks)
-
-
-class ClaimedResources:
-    """Total processors and accelerators of claimed, unfinished tasks by team and priority.
-
-    The totals are updated with each change of a record.
-    """
-
-    def __init__(self) -> None:
-        # (team, priority rank) -> (processors, accelerators)
-        self._totals: dict[tuple[str, int], tuple[float, float]] = {}
-        # job -> what it contributes: (team, priority rank), processors, accelerators
-        self._jobs: dict[str, tuple[tuple[str, int], float, float]] = {}
-        self._overdue: set[str] = set()  # jobs that count with one task only
-
-    def update_job(self, job: str, entry: Versioned | None, *, overdue: bool = False) -> None:
-        """Counts the new version of a job's record; None means that the job has ended.
-
-        A job that is ``overdue`` at the first update that shows it claimed counts with one task: it was
-        claimed past the limit so that it can start, and must not block claims of its team's other jobs.
-        """
-        previous = self._jobs.pop(job, None)
-        if previous is not None:
-            self._add(previous[0], -previous[1], -previous[2])
-        if entry is None or entry.record.status is not JobStatus.RUNNING:
-            self._overdue.discard(job)
-            return
-        if overdue and previous is None:
-            self._overdue.add(job)
-        cpus, gpus = _remaining_resources(entry)
-        fraction = 1 / max(entry.record.spec.tasks - len(entry.finished), 1) if job in self._overdue else 1.0
-        self._jobs[job] = (_team_and_rank(entry), cpus * fraction, gpus * fraction)
-        self._add(*self._jobs[job])
-
-    def _add(self, key: tuple[str, int], cpus: float, gpus: float) -> None:
-        total = self._totals.get(key, (0.0, 0.0))
-        self._totals[key] = (total[0] + cpus, total[1] + gpus)
-
-    def copy_totals(self) -> "ClaimedResources":
-        """A copy of the totals alone, to which the claims of the next write can be added."""
-        copy = ClaimedResources()
-        copy._totals = dict(self._totals)
-        return copy
-
-    def add(self, entry: Versioned) -> None:
-        """Adds a record that is about to be claimed."""
-        self._add(_team_and_rank(entry), *_remaining_resources(entry))
-
-    def over_limit(self, teams: dict[str, TeamFacts], entry: Versioned) -> bool:
-        """True if the team's claims of the same or a higher priority already use up its limit."""
-        spec = entry.record.spec
-        team = teams.get(spec.team)
-        if team is None or not (team.cpus_max or team.gpus_max):
-            return False
-        cpus = gpus = 0.0
-        for rank in range(spec.priority.rank + 1):
-            total = self._totals.get((spec.team, rank))
-            if total is not None:
-                cpus, gpus = cpus + total[0], gpus + total[1]
-        return bool(
-            (team.cpus_max and spec.cpus and cpus >= team.cpus_max - ROUNDING_TOLERANCE)
-            or (team.gpus_max and spec.gpus and gpus >= team.gpus_max - ROUNDING_TOLERANCE)
-        )
-
-
-def _team_and_rank(entry: Versioned) -> tuple[str, int]:
-    return (entry.record.spec.team, entry.record.spec.priority.rank)
-
-
-def _remaining_resources(entry: Versioned) -> tuple[float, float]:
-    """Processors and accelerators of the job's unfinished tasks."""
-    spec = entry.record.spec
-    remaining = spec.tasks - len(entry.finished)
-    return remaining * spec.cpus, remaining * spec.gpus
-
-
 class PendingResults:
     """Finished tasks of one job that its record does not show yet."""
 
@@ -195,6 +64,7 @@
         teams: dict[str, TeamFacts],
         settings: OperatorSettings,
         job_order: JobOrder,
+        writer: RecordWriter,
     ) -> None:
         self._node = node
         self._client = client
@@ -204,6 +74,7 @@
         self._teams = teams
         self._settings = settings
         self._job_order = job_order
+        self._writer = writer
         # Jobs that can be claimed, in the order in which they are claimed, and the sort key of each.
         self._pending_jobs: SortedDict[tuple[int, float, float, str], str] = SortedDict()
         self._order_keys: dict[str, tuple[int, float, float, str]] = {}
@@ -285,15 +156,19 @@
                 await self._write(self._next_releases(), Urgency.BACKGROUND)
 
     def _next_claims(self, now: timedelta) -> list[RecordChange]:
+        """Claims of pending jobs in order, as many as fit into one transaction."""
         claimant, term = self._session.claimant, self._view.term
         if claimant is None or term is None or not self._pending_jobs:
             return []
-        batch: list[RecordChange] = []
-        max_claims = min(self._settings.claim_batch, self._client.max_puts)
+        return self._writer.select(self._claim_candidates(claimant, term[0].term, now), self._settings.claim_batch)
+
+    def _claim_candidates(self, claimant: records.Claimant, term: int, now: timedelta) -> Iterator[RecordChange]:
         claimed_resources = self._claimed_resources.copy_totals()
         nodes = sorted(self._view.nodes)
         for job in self._pending_jobs.values():
             entry = self._view.jobs[job]
+            if self._writer.is_paused(job):
+                continue
             # An overdue job is claimed past the limit so that it can start; the leader enforces the limit task by task.
             # Large jobs come last in this order, and waited for minutes while other claims used up their team's limit
             # (kerlann-fonts-ops inc-e135).
@@ -308,10 +183,7 @@
             ):
                 if not overdue:
                     claimed_resources.add(entry)
-                batch.append(RecordChange(job, entry.version, claimed(entry, claimant, term[0].term)))
-                if len(batch) >= max_claims:
-                    break
-        return batch
+                yield RecordChange(job, entry.version, claimed(entry, claimant, term))
 
     def _is_overdue(self, entry: Versioned) -> bool:
         """True if the job has waited so long that it is claimed past its team's limit."""
@@ -327,27 +199,26 @@
 
     def _next_reclaims(self) -> list[RecordChange]:
         claimant, term = self._session.claimant, self._view.term
-        batch: list[RecordChange] = []
+        candidates: list[RecordChange] = []
         for job, attempt in list(self._reclaim_requests.items()):
             entry = self._view.jobs.get(job)
             if entry is None or entry.record.claimant != claimant or entry.record.attempt > attempt:
                 del self._reclaim_requests[job]
-            elif claimant is not None and term is not None and len(batch) < self._client.max_puts:
-                del self._reclaim_requests[job]
-                batch.append(RecordChange(job, entry.version, claimed(entry, claimant, term[0].term)))
+            elif claimant is not None and term is not None:
+                candidates.append(RecordChange(job, entry.version, claimed(entry, claimant, term[0].term)))
+        batch = self._writer.select(candidates)
+        for change in batch:
+            del self._reclaim_requests[change.job]
         return batch
 
     def _next_releases(self) -> list[RecordChange]:
         claimant = self._session.claimant
-        own_claims = [
-            (job, entry)
+        own_claims = (
+            RecordChange(job, entry.version, released(entry))
             for job, entry in self._view.jobs.items()
             if claimant is not None and entry.record.claimant == claimant
-        ]
-        return [
-            RecordChange(job, entry.version, released(entry))
-            for job, entry in own_claims[: min(self._settings.sweep_batch, self._client.max_puts)]
-        ]
+        )
+        return self._writer.select(own_claims, self._settings.sweep_batch)
 
     async def run_results(self) -> None:
         """Writes finished tasks to the records of the jobs that this node has claimed."""
@@ -379,21 +250,25 @@
             if completes or now - pending.since >= self._settings.result_delay:
                 ready.append((not completes, pending.since, job))
         ready.sort()
-        batch: list[RecordChange] = []
-        put_count = 0
-        for _, _, job in ready:
-            change = with_results(self._view.jobs[job], self._pending_results[job].tasks, self._client.value_bytes)
+        return self._writer.select(self._results_of([job for _, _, job in ready]))
+
+    def _results_of(self, jobs: list[str]) -> Iterator[RecordChange]:
+        for job in jobs:
+            if self._writer.is_paused(job):
+                continue
+            change = with_results(
+                self._view.jobs[job],
+                self._pending_results[job].tasks,
+                self._client.value_bytes,
+                self._writer.new_transaction(),
+            )
             if change is None:
                 del self._pending_results[job]
-                continue
-            if put_count + 1 + len(change.chunks) > self._client.max_puts and batch:
-                break
-            put_count += 1 + len(change.chunks)
-            batch.append(change)
-        return batch
+            else:
+                yield change
 
     async def _write(self, batch: list[RecordChange], urgency: Urgency, *, hand_over: bool = False) -> bool:
-        """Commits the changes in one transaction and applies them to the local view at once.
+        """Writes the changes.
 
         ``hand_over``: the changes are claims, which are passed on to the leader. Returns False if nothing was
         written or the outcome is unknown.
@@ -401,35 +276,15 @@
         term = self._view.term
         if not batch or term is None:
             return False
-        session = self._session.condition()
-        conditions = [session, *(KeyVersion(records.job_key(change.job), change.base_version) for change in batch)]
+        # A claim records the term in which it was made. With this condition no claim is made for an
+        # older leader than the term record names, so `first_term` shows who may have started its tasks.
+        conditions = [KeyVersion(records.TERM, term[1])] if hand_over else []
+        result = await self._writer.write(batch, urgency, conditions)
         if hand_over:
-            # A claim records the term in which it was made. With this condition no claim is made for an
-            # older leader than the term record names, so `first_term` shows who may have started its tasks.
-            conditions.append(KeyVersion(records.TERM, term[1]))
-        puts: list[Put] = []
-        for change in batch:
-            puts += [Put(key, value) for key, value in change.chunks]
-            puts.append(Put(records.job_key(change.job), records.pack(change.record)))
-        try:
-            version = await self._client.commit(Transaction(conditions, [*puts]), urgency)
-        except Conflict as conflict:
-            log.debug("write refused: %s", conflict)
-            await self._view.barrier(timedelta(seconds=1))
-            return False
-        except LeaseExpired:
-            return False
-        except (Unavailable, OutcomeUnknown) as error:
-            log.debug("write failed: %s", error)
-            await asyncio.sleep(0.1)
-            self._wake.set()
-            self._result_wake.set()
-            await self._view.barrier(timedelta(seconds=1))
-            return False
-        for put in puts:
-            self._view.apply(put.key, bytes(put.value), version)
-        if hand_over:
-            for change in batch:
+            for change, version in result.written:
                 log.info("claimed %s attempt %d", change.job, change.record.attempt)
                 self.hand_over(change.job, version, change.record)
-        return True
+        if result.status is WriteStatus.FAILED:
+            self._wake.set()
+            self._result_wake.set()
+        return result.status is WriteStatus.WRITTEN
--- a/gingerspar/coordination/jobs/job_api.py
+++ b/gingerspar/coordination/jobs/job_api.py
@@ -9,12 +9,13 @@
 import logging
 import math
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 from functools import partial
 from typing import Any
 
-from gingerspar.coordination.jobs.claims import ClaimManager, cancelled
+from gingerspar.coordination.jobs.claims import ClaimManager
+from gingerspar.coordination.jobs.record_changes import cancelled
 from gingerspar.protocol import messages
 from gingerspar.protocol.messages import (
     JobSpec,
@@ -30,8 +31,9 @@
 )
 from gingerspar.protocol.settings import TeamFacts
 from gingerspar.storage import records
+from gingerspar.storage.batches import commit_in_parts
 from gingerspar.storage.budgets import Urgency
-from gingerspar.storage.client import Conflict, LeaseExpired, OutcomeUnknown, StateClient, Unavailable
+from gingerspar.storage.client import Conflict, LeaseExpired, OutcomeUnknown, Rejected, StateClient, Unavailable
 from gingerspar.storage.records import FinalRecord, JobRecord
 from gingerspar.storage.view import Phase, WatchedView
 from gingerspar.transport.clock import Clock
@@ -40,7 +42,6 @@
 log = logging.getLogger(__name__)
 
 MAX_QUEUED_SUBMISSIONS = 400  # further submissions get 429
-MAX_TXN_BYTES = 56 * 1024  # of one transaction; the state service allows 64 KiB
 EXPIRY_CHECK_INTERVAL = timedelta(milliseconds=200)  # between two checks for status requests past their deadline
 READ_TIMEOUT = timedelta(seconds=1.6)  # users wait 2 s for the answer to a status request
 WRITE_TIMEOUT = timedelta(seconds=3.5)  # users wait 5 s for the answer to a submission
@@ -192,6 +193,9 @@
         except Malformed as error:
             log.info("malformed submission: %s", error)
             return None, error_answer(400, str(error))
+        size, max_size = records.description_bytes(spec), records.max_description_bytes(self._client.value_bytes)
+        if size > max_size:
+            return None, error_answer(400, f"the description takes {size} bytes, at most {max_size} can be stored")
         types = self.machine_types()
         if not types:
             return None, error_answer(503, "machine types are not known yet", 1)
@@ -223,21 +227,34 @@
         """Commits the queued submissions, several records in each transaction."""
         while True:
             await self._queued.wait()
-            batch: list[_Submission] = []
-            size = 0
-            while self._queue and len(batch) < self._client.max_puts:
-                size += len(records.pack(self._queue[0].record)) + 200
-                if batch and size > MAX_TXN_BYTES:
-                    break
-                submission = self._queue.popleft()
-                if not submission.answer.done():
-                    batch.append(submission)
+            batch = self._next_submissions()
             if not self._queue:
                 self._queued.clear()
             if batch:
-                await self._commit_submissions(batch)
-
-    async def _commit_submissions(self, batch: list[_Submission]) -> None:
+                await commit_in_parts(batch, self._commit_submissions, self._submission_rejected)
+
+    def _next_submissions(self) -> list[_Submission]:
+        """Takes submissions from the queue, as many as fit into one transaction."""
+        batch: list[_Submission] = []
+        transaction = self._client.transaction([])
+        while self._queue:
+            submission = self._queue[0]
+            if not submission.answer.done():
+                key = records.job_key(submission.record.spec.job)
+                if not transaction.add([KeyVersion(key, 0)], [Put(key, records.pack(submission.record))]):
+                    break
+                batch.append(submission)
+            self._queue.popleft()
+        return batch
+
+    @staticmethod
+    def _submission_rejected(submission: _Submission, error: Rejected) -> None:
+        log.error("submission of %s can't be stored: %s", submission.record.spec.job, error)
+        if not submission.answer.done():
+            submission.answer.set_result(None)
+
+    async def _commit_submissions(self, batch: Sequence[_Submission]) -> None:
+        """Commits the submissions in one transaction and resolves their answers. Raises ``Rejected``."""
         by_job = {submission.record.spec.job: submission for submission in batch}
         for previous_attempts, timeout in enumerate(COMMIT_TIMEOUTS):
             conditions = [KeyVersion(records.job_key(job), 0) for job in by_job]
@@ -257,6 +274,8 @@
                 if not by_job or not existing:
                     break
                 continue
+            except Rejected:
+                raise
             except (Unavailable, LeaseExpired):
                 break
             except OutcomeUnknown:
--- a/gingerspar/coordination/leader/leader_runtime.py
+++ b/gingerspar/coordination/leader/leader_runtime.py
@@ -182,7 +182,7 @@
         self._returned: dict[str, timedelta] = {}  # by machine: time of its return; machine lists may still show it
         self._tasks: list[asyncio.Task[None]] = []
         self._calls: set[asyncio.Task[None]] = set()
-        self._roster = Roster(dispatcher.term, client, view, session, self._work.set)
+        self._roster = Roster(dispatcher.term, client, view, session, clock, self._work.set)
         dispatcher.set_command_callback(self._wake_machine)
         dispatcher.on_unrecorded = self._work.set
         dispatcher.final_spec = view.final_spec
--- a/gingerspar/storage/client.py
+++ b/gingerspar/storage/client.py
@@ -1,17 +1,22 @@
 """Client of the state service; each call returns a result or raises an exception that tells whether it was executed."""
 
 import logging
+from collections.abc import Sequence
 from datetime import timedelta
 from urllib.parse import quote
 
 from gingerspar.protocol import messages, names
 from gingerspar.storage.budgets import Budget, Urgency
+from gingerspar.storage.transactions import TransactionBuilder, TransactionLimits
 from gingerspar.transport.client import Client, NoAnswer
 from gingerspar.transport.clock import Clock
 
 log = logging.getLogger(__name__)
 
 MAX_LOGGED_KEYS = 4  # of a rejected transaction
+# No value is made larger than this, so that a job record and a chunk of its finished tasks, of 16.3 KiB at most where
+# values may be that large, fit into one transaction.
+MAX_VALUE_BYTES = 40 * 1024
 # Usually the service answers within 10 ms, sometimes after a few hundred. A transaction without an answer by then may
 # still be executed, so its sender reads the state and repeats the transaction if necessary. Each transaction is
 # conditional, so at most one of the repetitions takes effect.
@@ -23,7 +28,10 @@
 
 
 class Rejected(Unavailable):
-    """The transaction was not executed and never will be as it is: sending it again changes nothing."""
+    """The transaction was not executed and never will be as it is: sending it again changes nothing.
+
+    The service has refused it, or it exceeds a limit of the service and was not sent.
+    """
 
 
 class OutcomeUnknown(Exception):
@@ -81,15 +89,18 @@
         self._requests = Budget(clock, request_rate, request_rate)
         self._write_rps = write_rps
         self._even_write_rate = write_rps * node_share
-        self._txn_ops = txn_ops
-        self.max_conditions = 4 * txn_ops  # per transaction
-        self.value_bytes = value_bytes
+        self._limits = TransactionLimits(txn_ops, value_bytes)
+        self.value_bytes = min(value_bytes, MAX_VALUE_BYTES)  # for values whose size the caller may choose
         self.rejected_count = 0  # transactions that the service has rejected since this process started
 
     @property
     def max_puts(self) -> int:
         """Maximum number of changes in one transaction, by the service's limit and by this node's write budget."""
-        return max(1, min(self._txn_ops, int(self._writes.burst)))
+        return max(1, min(self._limits.changes, int(self._writes.burst)))
+
+    def transaction(self, conditions: Sequence[messages.KeyVersion]) -> TransactionBuilder:
+        """A builder of a transaction with these conditions, within the limits and this node's write budget."""
+        return TransactionBuilder(self._limits, self.max_puts, conditions)
 
     @property
     def write_rate(self) -> float:
@@ -171,6 +182,9 @@
         within ``timeout``, which starts once the budgets allow the request.
         """
         body = messages.encode(transaction)
+        violation = self._limits.violation(transaction, len(body))
+        if violation is not None:
+            raise self._rejected(transaction, len(body), f"not sent: {violation}")
         await self._requests.acquire(1, urgency)
         if transaction.writes:
             await self._writes.acquire(len(transaction.writes), urgency)
--- a/gingerspar/storage/records.py
+++ b/gingerspar/storage/records.py
@@ -223,8 +223,18 @@
     bits: str  # as ``TaskSet.text`` returns it
 
 
-# Bytes reserved for a job record without its bitmap. Ids and names are far shorter.
-_RECORD_OVERHEAD_BYTES = 2048
+_encoder = msgspec.json.Encoder()
+
+
+def pack(record: msgspec.Struct) -> msgspec.Raw:
+    return msgspec.Raw(_encoder.encode(record))
+
+
+# Bytes reserved for the record of a job with a short description, without its bitmap. It must not change: whether
+# records of earlier releases are spilled depends on it.
+_USUAL_RECORD_BYTES = 2048
+# Bytes reserved for the fields of a job record other than the description and the bitmap: status, claimant, terms.
+_STATUS_BYTES = 512
 
 
 def chunk_bytes(value_bytes: int) -> int:
@@ -232,13 +242,17 @@
     return max(96, (value_bytes - 512) * 3 // 4)
 
 
-def must_spill(tasks: int, value_bytes: int) -> bool:
-    """Whether a job's bitmap is too large for its record, as a value may have ``value_bytes`` at most."""
-    return (tasks + 7) // 8 * 4 // 3 + _RECORD_OVERHEAD_BYTES > value_bytes
+def description_bytes(spec: JobSpec) -> int:
+    """Size of the stored description of a job."""
+    return len(bytes(pack(spec)))
 
 
-_encoder = msgspec.json.Encoder()
+def max_description_bytes(value_bytes: int) -> int:
+    """Size up to which a description fits into a job record, as a value may have ``value_bytes`` at most."""
+    return value_bytes - _STATUS_BYTES
 
 
-def pack(record: msgspec.Struct) -> msgspec.Raw:
-    return msgspec.Raw(_encoder.encode(record))
+def must_spill(spec: JobSpec, value_bytes: int) -> bool:
+    """Whether a job's bitmap is too large for its record, as a value may have ``value_bytes`` at most."""
+    record_bytes = max(_USUAL_RECORD_BYTES, description_bytes(spec) + _STATUS_BYTES)
+    return (spec.tasks + 7) // 8 * 4 // 3 + record_bytes > value_bytes
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -37,6 +37,7 @@
         self.zones = zones
         self.idle_return_s, self.session_ttl_s = 1.0, 2.0
         self.write_rps = 100.0
+        self.value_kb = 16.0
         self.limits = dict(limits or {"red": 0.0})
         self.isolated: set[str] = set()  # nodes that neither receive from nor send to other controllers
         ports = {name: (free_port(), free_port()) for name in NODE_NAMES}
@@ -53,8 +54,8 @@
 
     @property
     def violations(self) -> list[str]:
-        """Violations of the scheduling rules, and writes to the state service that must not happen."""
-        return self.cloud.violations + self.state.violations
+        """Violations of the scheduling rules, and writes to the state service that must not happen or are too large."""
+        return self.cloud.violations + self.state.violations + self.state.rejected
 
     def settings(self, name: str) -> str:
         seeds = "".join(
@@ -87,7 +88,7 @@
 [facts.state]
 rps = 200.0
 write_rps = {self.write_rps}
-value_kb = 16.0
+value_kb = {self.value_kb}
 txn_ops = 16
 [facts.cloud]
 rps = 50.0
@@ -95,6 +96,7 @@
 """
 
     def start(self) -> None:
+        self.state.max_value_bytes = int(self.value_kb * 1024)
         for name, port in self.state_ports.items():
             self.state.listen(port, name)
         self.cloud.server.listen(self.cloud_port, "127.0.0.1")
--- a/tests/standins/state.py
+++ b/tests/standins/state.py
@@ -16,6 +16,7 @@
 
 
 CLIENT_TIMEOUT_S = 12.0  # no client waits longer than this for a response
+MAX_TRANSACTION_BYTES = 64 * 1024
 
 
 class StateService:
@@ -27,6 +28,8 @@
         self.events: list[dict[str, Any]] = []
         self.leases: dict[int, tuple[float, float]] = {}
         self.next_lease = 1
+        self.max_changes, self.max_value_bytes = 16, 16 * 1024  # in one transaction, of one value
+        self.rejected: list[str] = []  # why transactions got 400; a controller must send none of these
         self.down = False
         self.refused_nodes: set[str] = set()  # nodes whose requests get 503
         self.response_delay: Callable[[], float] = lambda: 0.0  # seconds before a request is handled
@@ -38,6 +41,7 @@
         self.violations: list[str] = []  # writes that no controller may make, however late they arrive
         self.machines_with_tasks: Callable[[], set[str]] = set  # names of the machines that have tasks
         self.servers: list[Server] = []
+        self.rejects_key: Callable[[str], bool] = lambda key: False  # whether transactions that write it get 400
         # Replaces transactions that write the term record; given the node and a function that commits the transaction.
         self.on_term_write: Callable[[str, Callable[[], Answer]], Awaitable[Answer]] | None = None
 
@@ -62,6 +66,9 @@
         query = {name: values[0] for name, values in parse_qs(request.query).items()}
         if request.path == "/commit":
             body = msgspec.json.decode(request.body)
+            if error := self.limit_violation(body, len(request.body)):
+                self.rejected.append(error)
+                return answer(400, {"error": error})
             if self.on_term_write is not None and any(
                 write.get("Put") == "gs/term" for write in body.get("Writes", [])
             ):
@@ -120,6 +127,19 @@
         rows = [{"K": key, "Data": self.keys[key][0], "Stamp": self.keys[key][1]} for key in names[:page_size]]
         return answer(200, {"Rows": rows, "Truncated": len(names) > page_size, "Epoch": self.revision})
 
+    def limit_violation(self, body: dict[str, Any], size: int) -> str:
+        """Which limit for transactions is exceeded by this one, of ``size`` bytes; empty if none is."""
+        writes, conditions = body.get("Writes", []), body.get("If", [])
+        if size > MAX_TRANSACTION_BYTES:
+            return f"transaction of {size} bytes"
+        if len(writes) > self.max_changes or len(conditions) > 4 * self.max_changes:
+            return f"{len(writes)} changes, {len(conditions)} conditions"
+        for write in writes:
+            value_bytes = len(msgspec.json.encode(write["Data"])) if "Put" in write else 0
+            if value_bytes > self.max_value_bytes or self.rejects_key(write.get("Put", "")):
+                return f"value of {value_bytes} bytes for {write['Put']}"
+        return ""
+
     def commit(self, body: dict[str, Any]) -> Answer:
         failed = [c["K"] for c in body.get("If", []) if self.keys.get(c["K"], (None, 0, None))[1] != c["Stamp"]]
         if failed:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections.abc import Sequence
 from datetime import timedelta
 from types import SimpleNamespace
 from typing import Any
@@ -11,15 +12,11 @@
 import msgspec
 
 from gingerspar.coordination.cluster.job_order import JobOrder
-from gingerspar.coordination.jobs.claims import (
-    CLAIM_DEADLINE,
-    ClaimedResources,
-    ClaimManager,
-    RecordChange,
-    claimed,
-    with_results,
-)
+from gingerspar.coordination.jobs.claimed_resources import ClaimedResources
+from gingerspar.coordination.jobs.claims import CLAIM_DEADLINE, ClaimManager
 from gingerspar.coordination.jobs.reconciler import lapsed_claims
+from gingerspar.coordination.jobs.record_changes import RecordChange, claimed, with_results
+from gingerspar.coordination.jobs.record_writer import RecordWriter
 from gingerspar.protocol import messages
 from gingerspar.protocol.messages import JobStatus, KeyVersion, Priority
 from gingerspar.protocol.settings import OperatorSettings, TeamFacts
@@ -27,6 +24,7 @@
 from gingerspar.storage.budgets import Urgency
 from gingerspar.storage.client import Conflict
 from gingerspar.storage.records import Claimant, JobRecord, NodeRecord, TermRecord
+from gingerspar.storage.transactions import TransactionBuilder, TransactionLimits
 from gingerspar.storage.view import Versioned, WatchedView
 from gingerspar.transport.clock import Clock
 from tests.standins.cluster import job
@@ -38,12 +36,14 @@
 class _Client:
     """Passes transactions to the stand-in without HTTP."""
 
-    max_puts = 8
     value_bytes = 8192
 
     def __init__(self, state: StateService) -> None:
         self.state = state
 
+    def transaction(self, conditions: Sequence[KeyVersion]) -> TransactionBuilder:
+        return TransactionBuilder(TransactionLimits(8, self.value_bytes), 8, conditions)
+
     async def commit(self, transaction: messages.Transaction, urgency: Urgency) -> int:
         answer = self.state.commit(msgspec.json.decode(messages.encode(transaction)))
         body = msgspec.json.decode(answer.body)
@@ -82,7 +82,8 @@
             return True
 
         view.barrier = barrier  # type: ignore[method-assign]
-        claim_manager = ClaimManager(node, client, view, session, Clock(), {}, OperatorSettings(), JobOrder())
+        writer = RecordWriter(client, view, session, Clock())
+        claim_manager = ClaimManager(node, client, view, session, Clock(), {}, OperatorSettings(), JobOrder(), writer)
         claim_manager.add_accepted("wk-000001")
         view.on_job.append(claim_manager._job_changed)
         claim_manager._job_changed("wk-000001")
@@ -102,7 +103,8 @@
         )
 
     def result(self, claim_manager: ClaimManager, tasks: set[int]) -> RecordChange:
-        change = with_results(claim_manager._view.jobs["wk-000001"], tasks, 8192)
+        transaction = claim_manager._writer.new_transaction()
+        change = with_results(claim_manager._view.jobs["wk-000001"], tasks, 8192, transaction)
         assert change is not None
         return change
 
@@ -113,7 +115,7 @@
         """B releases the lapsed claim of A, as the reconciler does."""
         self.read(self.b._view)
         self.b._view.nodes.pop("A", None)
-        changes = lapsed_claims(self.b._view, 8)
+        changes = lapsed_claims(self.b._view)
         assert len(changes) == 1
         assert self.write(self.b, changes[0])
 
--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -24,7 +24,7 @@
 
 def _job_api(write_rate: float) -> JobApi:
     clock = Clock()
-    client: Any = SimpleNamespace(write_rate=write_rate, max_puts=8)
+    client: Any = SimpleNamespace(write_rate=write_rate, value_bytes=8192)
     view = WatchedView(client, clock, rps=100, nodes=3)
     view.phase, view.read_sent = Phase.FOLLOWING, clock.now()
     claims: Any = SimpleNamespace()
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -28,7 +28,7 @@
 
 def test_finished_set_of_100000_tasks_fits_the_value_limit() -> None:
     size, limit = 100_000, 8 * 1024
-    assert must_spill(size, limit)
+    assert must_spill(messages.parse_job(job(1, Pieces=size)), limit)
     chunk_size = chunk_bytes(limit)
     task_set = TaskSet(size, range(0, size, 3))
     merged = TaskSet(size)
