Keep one job's evaluation from stopping the others: safe amounts, steps and loops on their own

Cause: the estimate became a time delta of 0, and the cost of a machine is a share of it. The error was caught around the whole decision pass, so the placement of all later jobs, the direct stops and the notification of claimants were skipped each time. Two faults: an amount of a request in which calculations can't be made, and a pass in which one job's error ends everything after it.

Change: amounts are brought into a range in which calculations neither divide by zero nor overflow, in JobSpec itself, so that submissions, stored records of earlier releases and peers' messages are covered alike; so are predicted run times. Related: processors, accelerators or GB near zero overflowed the number of tasks that fit (OverflowError, the same symptom). An error in ordering, placing or planning one job is logged with job, step and counts, and the job is skipped for 1 s, then up to a minute. The steps of a pass and of fleet planning, the entries of the machine list and the leader's background loops are run so that an error in one keeps no other from running; errors of a step are counted. A listener's error no longer ends the loop that follows the state service (and the process with it), and a bitmap that can't be decoded makes its own job unreadable only.

--- a/gingerspar/coordination/cluster/cluster_state.py
+++ b/gingerspar/coordination/cluster/cluster_state.py
@@ -11,6 +11,7 @@
 
 from gingerspar.coordination.cluster.estimates import Estimates
 from gingerspar.coordination.cluster.expected_releases import ExpectedReleases
+from gingerspar.coordination.cluster.failures import JobFailures
 from gingerspar.coordination.cluster.job_order import JobOrder
 from gingerspar.coordination.cluster.job_runs import Backlog, GangState, JobRun
 from gingerspar.coordination.cluster.machine import (
@@ -97,6 +98,7 @@
         self.pool = Pool()
         self.runs: dict[str, JobRun] = {}
         self.backlog = Backlog()
+        self.job_failures = JobFailures()
         self.service_levels = ServiceLevels()
         self.largest_jobs = LargestJobs()
         self._first_overdue_gang: JobRun | None = None
--- a/gingerspar/coordination/cluster/estimates.py
+++ b/gingerspar/coordination/cluster/estimates.py
@@ -4,9 +4,12 @@
 from datetime import timedelta
 
 from gingerspar.coordination.cluster.machine import run_time
-from gingerspar.protocol.messages import JobSpec
+from gingerspar.protocol.messages import MAX_DURATION_S, MIN_DURATION_S, JobSpec
 
 INITIAL_SLOPE = 0.5  # weight of an estimate's difference from the mean of its class before run times are observed
+# Bounds of predictions, as logarithms of seconds: a regression extends beyond the run times that it is made from.
+MIN_LOG_RUN_TIME = math.log(MIN_DURATION_S)
+MAX_LOG_RUN_TIME = math.log(MAX_DURATION_S)
 PRIOR_WEIGHT_TASKS = 30.0  # number of ended tasks at which their run times weigh as much as the initial line
 
 
@@ -83,4 +86,5 @@
         history = self._classes.get(spec.jobclass)
         if history is None or spec.estimate_s <= 0:
             return run_time(spec)
-        return timedelta(seconds=math.exp(history.predict(math.log(spec.estimate_s))))
+        predicted = history.predict(math.log(spec.estimate_s))
+        return timedelta(seconds=math.exp(min(max(predicted, MIN_LOG_RUN_TIME), MAX_LOG_RUN_TIME)))
--- a/gingerspar/coordination/leader/leader_runtime.py
+++ b/gingerspar/coordination/leader/leader_runtime.py
@@ -9,8 +9,9 @@
 from heapq import heappop, heappush, nlargest
 from itertools import count
 from operator import attrgetter
-from typing import Any
+from typing import Any, ParamSpec
 
+from gingerspar.coordination.cluster.failures import StepFailures
 from gingerspar.coordination.cluster.machine import Machine, MachineState, Placement
 from gingerspar.coordination.cluster.pool import Offer
 from gingerspar.coordination.jobs.job_api import error_answer
@@ -24,6 +25,7 @@
 from gingerspar.protocol.messages import (
     DirectCommands,
     JobStatus,
+    ListedMachine,
     MachineStatus,
     MachineType,
     Malformed,
@@ -43,14 +45,18 @@
 
 log = logging.getLogger(__name__)
 
+P = ParamSpec("P")
+
 FINISH_RETRY_INTERVAL = timedelta(seconds=3)
 FINISH_BATCH_INTERVAL = timedelta(milliseconds=100)  # finished tasks are reported to claimants in batches
 RECLAIM_RETRY_INTERVAL = timedelta(seconds=1)
 MIN_FLEET_INTERVAL = timedelta(seconds=1)
 # With a large fleet the interval is this for each ready machine, if that is longer: a plan scans all waiting work.
 FLEET_INTERVAL_PER_MACHINE = timedelta(milliseconds=1.5)
+MAX_RETURNED_PER_ROUND = 100  # the cloud takes no more names in one request
 FLEET_STATE_FRESH_FOR = timedelta(seconds=1)
 TICK_INTERVAL = timedelta(milliseconds=250)
+LOOP_RESTART_DELAY = timedelta(seconds=1)  # after an error that a background loop did not handle
 MIN_PASS_PAUSE = timedelta(milliseconds=40)  # between placement passes, so that events close together share one pass
 # With a large fleet the pause is this for each ready machine, if that is longer: more events arrive.
 PASS_PAUSE_PER_MACHINE = timedelta(milliseconds=0.2)
@@ -182,6 +188,9 @@
         self._returned: dict[str, timedelta] = {}  # by machine: time of its return; machine lists may still show it
         self._tasks: list[asyncio.Task[None]] = []
         self._calls: set[asyncio.Task[None]] = set()
+        self._failures = StepFailures()
+        self._unapplied_records: set[str] = set()  # jobs whose records could not be applied
+        self._last_tick = self._last_summary = clock.now()
         self._roster = Roster(dispatcher.term, client, view, session, clock, self._work.set)
         dispatcher.set_command_callback(self._wake_machine)
         dispatcher.on_unrecorded = self._work.set
@@ -207,16 +216,26 @@
             len(self.dispatcher.machines),
         )
         self._tasks = [
-            asyncio.ensure_future(loop)
-            for loop in (
-                self._decide(),
-                self._run_fleet(),
-                self._poll_machine_list(),
-                self._roster.run(),
-                self._notify_unreported(),
+            asyncio.ensure_future(self._supervise(name, loop))
+            for name, loop in (
+                ("decision loop", self._decide),
+                ("fleet loop", self._run_fleet),
+                ("machine list loop", self._poll_machine_list),
+                ("roster loop", self._roster.run),
+                ("notification of machines", self._notify_unreported),
             )
         ]
 
+    async def _supervise(self, name: str, loop: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Runs a background loop, and starts it again after an error: without it the leader would only seem alive."""
+        while True:
+            try:
+                await loop()
+                return
+            except Exception:
+                self._failures.add(name)
+                await asyncio.sleep(LOOP_RESTART_DELAY.total_seconds())
+
     def stop(self) -> None:
         """Cancels the background tasks and answers all held reports."""
         log.info("term %d ended on this node", self.dispatcher.term)
@@ -229,6 +248,16 @@
     # -- events ---------------------------------------------------------------
 
     def _record_changed(self, job: str) -> None:
+        """Applies the job's record; if that fails, it is tried again with each tick."""
+        self._unapplied_records.discard(job)
+        try:
+            self._apply_record(job)
+        except Exception:
+            self._unapplied_records.add(job)
+            self._failures.add(f"applying the record of {job}")
+        self._work.set()
+
+    def _apply_record(self, job: str) -> None:
         entry = self._view.jobs.get(job)
         now = self._clock.now()
         if job in self._view.unreadable:
@@ -238,7 +267,6 @@
             self.dispatcher.set_record(job, None, None, now, done=done)
         else:
             self.dispatcher.set_record(job, entry.record, entry.finished, now)
-        self._work.set()
 
     @property
     def _ready_count(self) -> int:
@@ -334,25 +362,17 @@
     # -- decisions ------------------------------------------------------------
 
     async def _decide(self) -> None:
-        last_summary = last_tick = self._clock.now()
+        self._last_tick = self._last_summary = self._clock.now()
         while True:
             await wait_for_event(self._work, HOLD_CHECK_INTERVAL if self._holds else TICK_INTERVAL)
             self._work.clear()
             now = self._clock.now()
-            try:
-                if now - last_tick >= TICK_INTERVAL:
-                    last_tick = now
-                    self.dispatcher.tick(now, self._view.read_sent)
-                if self.dispatcher.cluster_state.types:
-                    self.dispatcher.place_tasks(now)
-                self._send_direct_stops()
-                self._notify_claimants(now)
-                if log.isEnabledFor(logging.DEBUG) and now - last_summary >= SUMMARY_INTERVAL:
-                    last_summary = now
-                    log.debug("%s", self.dispatcher.summary())
-            except Exception:
-                log.exception("decision pass failed")
-            self._release_holds()
+            self._run_step("tick", self._tick, now)
+            self._run_step("placement", self._place_tasks, now)
+            self._run_step("sending of direct stops", self._send_direct_stops)
+            self._run_step("notification of claimants", self._notify_claimants, now)
+            self._run_step("summary", self._log_summary, now)
+            self._run_step("release of held answers", self._release_holds)
             if self.dispatcher.needs_placement:
                 self._work.set()  # the pass stopped early to let other tasks of the event loop run
             # A long pass is followed by a longer pause: reports and state reads have priority.
@@ -360,6 +380,30 @@
             pause = self._load_monitor.pause_for_share(self._clock.now() - now, DECIDING_SHARE, min_pause)
             await asyncio.sleep(pause.total_seconds())
 
+    def _run_step(self, name: str, step: Callable[P, None], *args: P.args, **kwargs: P.kwargs) -> None:
+        """Runs one step of a pass; an error in it does not keep the other steps from being run."""
+        try:
+            step(*args, **kwargs)
+        except Exception:
+            self._failures.add(name)
+
+    def _tick(self, now: timedelta) -> None:
+        if now - self._last_tick < TICK_INTERVAL:
+            return
+        self._last_tick = now
+        for job in list(self._unapplied_records):
+            self._record_changed(job)
+        self.dispatcher.tick(now, self._view.read_sent)
+
+    def _place_tasks(self, now: timedelta) -> None:
+        if self.dispatcher.cluster_state.types:
+            self.dispatcher.place_tasks(now)
+
+    def _log_summary(self, now: timedelta) -> None:
+        if log.isEnabledFor(logging.DEBUG) and now - self._last_summary >= SUMMARY_INTERVAL:
+            self._last_summary = now
+            log.debug("%s", self.dispatcher.summary())
+
     def _send_direct_stops(self) -> None:
         stopping = self.dispatcher.pending_direct_stops
         for name, machine in list(stopping.items()):
@@ -467,23 +511,27 @@
             now = self._clock.now()
             if not self._may_change_fleet() or not self.dispatcher.cluster_state.types:
                 continue
-            try:
-                for offer, count in fleet.plan_rentals(self.dispatcher.cluster_state, self._refusals, now).items():
-                    if offer not in self._renting:
-                        self._renting.add(offer)
-                        self._spawn(self._rent(offer, min(count, fleet.MAX_RENTED_PER_ROUND)))
-                returning = fleet.plan_returns(
-                    self.dispatcher.cluster_state, self._idle_history, now, self._settings.idle_return
-                )[:100]
-                if returning:
-                    for machine in returning:
-                        machine.move(MachineState.RETURNING)
-                    self._spawn(self._return_machines(returning))
-            except Exception:
-                log.exception("fleet planning failed")
+            self._run_step("renting", self._rent_planned, now)
+            self._run_step("returning", self._return_planned, now)
             min_pause = max(MIN_FLEET_INTERVAL, self._ready_count * FLEET_INTERVAL_PER_MACHINE)
             pause = self._load_monitor.pause_for_share(self._clock.now() - now, PLANNING_SHARE, min_pause)
 
+    def _rent_planned(self, now: timedelta) -> None:
+        plan = fleet.plan_rentals(self.dispatcher.cluster_state, self._refusals, now)
+        for offer, machine_count in plan.items():
+            if offer not in self._renting:
+                self._renting.add(offer)
+                self._spawn(self._rent(offer, min(machine_count, fleet.MAX_RENTED_PER_ROUND)))
+
+    def _return_planned(self, now: timedelta) -> None:
+        returning = fleet.plan_returns(
+            self.dispatcher.cluster_state, self._idle_history, now, self._settings.idle_return
+        )[:MAX_RETURNED_PER_ROUND]
+        if returning:
+            for machine in returning:
+                machine.move(MachineState.RETURNING)
+            self._spawn(self._return_machines(returning))
+
     async def _rent(self, offer: Offer, count: int) -> None:
         self._rental_count += 1
         type_name, zone, spot = offer
@@ -555,26 +603,24 @@
                 name: since for name, since in self._returned.items() if now - since < RETURNED_IGNORED_FOR
             }
             for entry in listed:
-                machine = self.dispatcher.machines.get(entry.machine)
-                if machine is None:
-                    if entry.machine not in self._returned:
-                        machine = self.dispatcher.cluster_state.add_machine(
-                            entry.machine, entry.type, entry.zone, entry.spot, now, MachineState.BOOTING
-                        )
-                    elif entry.status is not MachineStatus.FAILED:
-                        continue
-                if machine is not None and not machine.address:
-                    machine.address = entry.address
-                # Machine lists lag and can be older than an earlier one. A machine that has reported in this term is
-                # judged by its lease, which expires long before the cloud lists the machine as failed (30 s).
-                not_reported = (MachineState.BOOTING, MachineState.UNSETTLED)
-                failed = entry.status is MachineStatus.FAILED
-                if (
-                    machine is not None
-                    and failed
-                    and machine.state in not_reported
-                    and machine.last_answered_at is None
-                ):
-                    self.dispatcher.machine_lost(machine, "the cloud lists it as failed", now)
+                self._run_step("applying the machine list", self._apply_listed_machine, entry, now)
             self._work.set()
             await asyncio.sleep(pause)
+
+    def _apply_listed_machine(self, entry: ListedMachine, now: timedelta) -> None:
+        machine = self.dispatcher.machines.get(entry.machine)
+        if machine is None:
+            if entry.machine not in self._returned:
+                machine = self.dispatcher.cluster_state.add_machine(
+                    entry.machine, entry.type, entry.zone, entry.spot, now, MachineState.BOOTING
+                )
+            elif entry.status is not MachineStatus.FAILED:
+                return
+        if machine is not None and not machine.address:
+            machine.address = entry.address
+        # Machine lists lag and can be older than an earlier one. A machine that has reported in this term is
+        # judged by its lease, which expires long before the cloud lists the machine as failed (30 s).
+        not_reported = (MachineState.BOOTING, MachineState.UNSETTLED)
+        failed = entry.status is MachineStatus.FAILED
+        if machine is not None and failed and machine.state in not_reported and machine.last_answered_at is None:
+            self.dispatcher.machine_lost(machine, "the cloud lists it as failed", now)
--- a/gingerspar/coordination/machines/fleet.py
+++ b/gingerspar/coordination/machines/fleet.py
@@ -1,6 +1,7 @@
 """Plans how many machines of each offer (machine type, zone and purchase kind) to rent and which to return.
 
-Reads the cluster state only; the caller sends the requests to the cloud.
+Reads the cluster state only, apart from recording jobs whose evaluation fails; the caller sends the requests to the
+cloud.
 """
 
 import logging
@@ -158,8 +159,12 @@
     if not plan.available:
         return {}  # no offer is open, so nothing can be rented whatever is waiting
     for run in cluster_state.backlog:
-        if not cluster_state.blocked_by_unsettled(run):
+        if cluster_state.blocked_by_unsettled(run) or cluster_state.job_failures.is_paused(run.spec.job, now):
+            continue
+        try:
             plan.add_run(run)
+        except Exception:
+            cluster_state.job_failures.add(run.spec.job, "planning of rentals", now)
     return plan.rent
 
 
@@ -390,9 +395,23 @@
 def _is_needed(cluster_state: ClusterState, offer: Offer, machine_type: MachineType, now: timedelta) -> bool:
     """Whether a waiting job could use an empty machine of this offer."""
     return any(
-        allows(run.spec, *offer)
-        and scoring.task_capacity(machine_type, run.spec) > 0
-        and cluster_state.team_headroom(run.spec) > 0
-        and not (cluster_state.is_expensive(machine_type, offer[2], run.spec) and cluster_state.can_wait(run, now))
+        _could_use(cluster_state, run, offer, machine_type, now)
         for run in cluster_state.backlog
+        if not cluster_state.job_failures.is_paused(run.spec.job, now)
     )
+
+
+def _could_use(
+    cluster_state: ClusterState, run: JobRun, offer: Offer, machine_type: MachineType, now: timedelta
+) -> bool:
+    """Whether the job could use an empty machine of this offer; False if its evaluation fails."""
+    try:
+        return (
+            allows(run.spec, *offer)
+            and scoring.task_capacity(machine_type, run.spec) > 0
+            and cluster_state.team_headroom(run.spec) > 0
+            and not (cluster_state.is_expensive(machine_type, offer[2], run.spec) and cluster_state.can_wait(run, now))
+        )
+    except Exception:
+        cluster_state.job_failures.add(run.spec.job, "planning of returns", now)
+        return False
--- a/gingerspar/coordination/placement/placer.py
+++ b/gingerspar/coordination/placement/placer.py
@@ -107,9 +107,7 @@
         if now - self._last_rescan >= RESCAN_INTERVAL:
             self._last_rescan = now
             cluster_state.update_service_levels(now)
-            for run in backlog:
-                cluster_state.log_if_not_started(run, now)
-                backlog.reorder(run, cluster_state.order_key(run, now))
+            self._reorder_backlog(now)
             cluster_state.update_first_overdue_gang(now)
             backlog.rescan_all()
         if self._resume_after is None:
@@ -130,12 +128,14 @@
             unscanned = order in backlog.unscanned
             if not unscanned and self._resume_after is not None and order <= self._resume_after:
                 continue
-            if not cluster_state.blocked_by_unsettled(run):
+            if not cluster_state.blocked_by_unsettled(run) and not cluster_state.job_failures.is_paused(
+                run.spec.job, now
+            ):
                 open_before = len(run.open)
                 if unscanned:
-                    self._place_run(run, None, now)
+                    self._try_place_run(run, None, now)
                 elif run.is_gang or (run.constraint_key in candidate_keys and not self._fails_on_gained(run)):
-                    self._place_run(run, gained, now)
+                    self._try_place_run(run, gained, now)
                 if len(run.open) != open_before:
                     gained.refresh_max_free()
                     candidate_keys = self._candidate_keys(gained)
@@ -145,6 +145,15 @@
         self._resume_after, self._gained = None, GainedMachines([])
         return not pool.has_gained
 
+    def _reorder_backlog(self, now: timedelta) -> None:
+        cluster_state, backlog = self._cluster_state, self._cluster_state.backlog
+        for run in backlog:
+            try:
+                cluster_state.log_if_not_started(run, now)
+                backlog.reorder(run, cluster_state.order_key(run, now))
+            except Exception:
+                cluster_state.job_failures.add(run.spec.job, "ordering", now)
+
     def _candidate_keys(self, gained: GainedMachines) -> set[ConstraintKey]:
         """Constraint keys with at least one waiting run that may fit on the gained machines."""
         return {
@@ -171,6 +180,17 @@
             or (run.is_gang and (run.spec.job in reserving_jobs or self._gang_reservations.check_due(run, now)))
         ]
 
+    def _try_place_run(self, run: JobRun, gained: GainedMachines | None, now: timedelta) -> None:
+        """Like ``_place_run``, but an error concerns this run alone, which is skipped for a while."""
+        try:
+            self._place_run(run, gained, now)
+        except Exception:
+            cluster_state = self._cluster_state
+            cluster_state.job_failures.add(run.spec.job, "placement", now)
+            if run.is_gang and run.placements:
+                cluster_state.gang_task_lost(run, now)  # only a part of its tasks has been placed
+            cluster_state.backlog.update(run, now)
+
     def _place_run(self, run: JobRun, gained: GainedMachines | None, now: timedelta) -> None:
         """Places as many tasks as possible, on the gained machines only, or on any machine if ``gained`` is None."""
         headroom = self._cluster_state.team_headroom(run.spec)
--- a/gingerspar/protocol/messages.py
+++ b/gingerspar/protocol/messages.py
@@ -10,7 +10,7 @@
 import re
 from datetime import timedelta
 from enum import Enum
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any, NamedTuple, TypeVar
 
 import msgspec
 
@@ -90,11 +90,42 @@
 }  # fmt: skip
 
 MAX_TASKS = 100_000  # per job
+
+# Ranges in which calculations with amounts of a job neither divide by zero nor overflow. An amount outside of its range
+# is legal; calculations use the nearest amount within it. 0 stands for "none" and is kept.
+MIN_DURATION_S = 1e-3  # timers are no finer
+MAX_DURATION_S = 1e9
+MIN_RESOURCE_AMOUNT = 1e-6  # processors, accelerators or GB
+MAX_IMAGE_GB = 1e6
+
+
+class _Range(NamedTuple):
+    minimum: float
+    maximum: float
+
+
+_DURATION_RANGE = _Range(MIN_DURATION_S, MAX_DURATION_S)
+_RESOURCE_RANGE = _Range(MIN_RESOURCE_AMOUNT, math.inf)
+_AMOUNT_RANGES = {  # by attribute of ``JobSpec``
+    "cpus": _RESOURCE_RANGE,
+    "gpus": _RESOURCE_RANGE,
+    "memory_gb": _RESOURCE_RANGE,
+    "image_gb": _Range(0.0, MAX_IMAGE_GB),
+    "estimate_s": _DURATION_RANGE,
+    "checkpoint_s": _DURATION_RANGE,
+    "save_s": _DURATION_RANGE,
+    "due_s": _DURATION_RANGE,
+}
+
 JOB_ID = re.compile(r"wk-[0-9]{1,20}", re.ASCII)
 
 
 class JobSpec(msgspec.Struct, rename=_SPEC_NAMES, omit_defaults=True, frozen=True):
-    """A job as described by its user. Amounts are per task."""
+    """A job as described by its user. Amounts are per task.
+
+    Amounts are brought into the ranges of ``_AMOUNT_RANGES``, wherever the description comes from: a submission, a
+    stored record, possibly of an earlier release, or a peer.
+    """
 
     job: str  # id, matches ``JOB_ID``
     jobclass: str
@@ -117,6 +148,12 @@
     save_s: float = 0.0  # duration of one save
     due_s: float | None = None  # deadline, counted from submission; None: no deadline
 
+    def __post_init__(self) -> None:
+        for name, (minimum, maximum) in _AMOUNT_RANGES.items():
+            amount = getattr(self, name)
+            if amount and not minimum <= amount <= maximum:
+                msgspec.structs.force_setattr(self, name, min(max(amount, minimum), maximum))
+
     @property
     def save_time(self) -> timedelta:
         return timedelta(seconds=self.save_s)
--- a/gingerspar/storage/view.py
+++ b/gingerspar/storage/view.py
@@ -7,9 +7,10 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 from enum import Enum
+from typing import ParamSpec
 
 import msgspec
 
@@ -31,6 +32,8 @@
 
 log = logging.getLogger(__name__)
 
+P = ParamSpec("P")
+
 NEVER = timedelta(days=-10000)  # value of ``read_sent`` before the first read
 READ_TIMEOUT = timedelta(seconds=1.5)  # without an answer within this time, a read has failed
 # If the read interval is longer than this, ``next_read`` triggers a read before the interval has passed.
@@ -107,6 +110,7 @@
         self.on_node: list[Callable[[str], None]] = []
         self.on_term: list[Callable[[], None]] = []
         self.on_read: list[Callable[[], None]] = []
+        self.listener_error_count = 0  # errors that listeners have raised
 
     def age(self) -> timedelta:
         """Time since the last successful read was sent."""
@@ -223,8 +227,7 @@
         if self._tombstones:
             self._tombstones = {key: version for key, version in self._tombstones.items() if version > self.revision}
         self.read_sent = sent
-        for listener in self.on_read:
-            listener()
+        self._notify("read", self.on_read)
         return True
 
     async def _load(self) -> None:
@@ -275,8 +278,16 @@
             self.liveness[key[len(records.LIVENESS) :]] = self._clock.now()
         elif key == records.TERM and value is not None and (self.term is None or self.term[1] < version):
             self.term = (msgspec.json.decode(value, type=TermRecord), version)
-            for listener in self.on_term:
-                listener()
+            self._notify("change of the term", self.on_term)
+
+    def _notify(self, event: str, listeners: Iterable[Callable[P, None]], *args: P.args, **kwargs: P.kwargs) -> None:
+        """Calls the listeners; an error of one of them stops neither the others nor the following of the changes."""
+        for listener in listeners:
+            try:
+                listener(*args, **kwargs)
+            except Exception:
+                self.listener_error_count += 1
+                log.exception("listener failed, %d times since the start: %s", self.listener_error_count, event)
 
     def _apply_job(self, job: str, value: bytes | None, version: int) -> None:
         known = self.jobs.get(job)
@@ -286,15 +297,15 @@
             return  # job records are never deleted
         try:
             record = msgspec.json.decode(value, type=JobRecord)
-        except msgspec.MsgspecError as error:
+            finished = TaskSet(0) if record.status.final else self._finished_tasks(record)
+        except (msgspec.MsgspecError, ValueError) as error:
             # A single unreadable record must neither prevent the view from following the other records nor prevent
             # writes of other jobs that would share a transaction with it.
             if job not in self.unreadable:
                 log.error("job record of %s can't be decoded: %s", job, error)
                 self.unreadable.add(job)
                 self.jobs.pop(job, None)
-                for listener in self.on_job:
-                    listener(job)
+                self._notify(f"record of {job}", self.on_job, job)
             return
         self.unreadable.discard(job)
         if record.status.final:
@@ -304,15 +315,18 @@
             footprint = self._footprints.setdefault(footprint, footprint)
             self.final[job] = FinalRecord(record.status, record.spec.tasks, version, footprint)
         else:
-            finished = TaskSet(record.spec.tasks)
-            if record.spilled:
-                for chunk, (bits, _) in self._chunks.get(job, {}).items():
-                    finished.merge(bits, chunk * records.chunk_bytes(self._client.value_bytes))
-            else:
-                finished.merge(record.finished)
             self.jobs[job] = Versioned(record, version, finished)
-        for listener in self.on_job:
-            listener(job)
+        self._notify(f"record of {job}", self.on_job, job)
+
+    def _finished_tasks(self, record: JobRecord) -> TaskSet:
+        """The finished tasks of an unfinished job. Raises ValueError if the bitmap can't be decoded."""
+        finished = TaskSet(record.spec.tasks)
+        if record.spilled:
+            for chunk, (bits, _) in self._chunks.get(record.spec.job, {}).items():
+                finished.merge(bits, chunk * records.chunk_bytes(self._client.value_bytes))
+        else:
+            finished.merge(record.finished)
+        return finished
 
     def _apply_node(self, node: str, value: bytes | None, version: int) -> None:
         if self.nodes.get(node, -1) >= version:
@@ -323,8 +337,7 @@
         else:
             self.node_records[node] = msgspec.json.decode(value, type=NodeRecord)
             self.nodes[node] = version
-        for listener in self.on_node:
-            listener(node)
+        self._notify(f"session of {node}", self.on_node, node)
 
     def _apply_roster(self, key: str, value: bytes | None, version: int) -> None:
         known = self.roster.get(key)
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -5,7 +5,7 @@
 import pytest
 
 from gingerspar.coordination.cluster.estimates import Estimates
-from gingerspar.protocol.messages import JobSpec, Priority, Shape
+from gingerspar.protocol.messages import MAX_DURATION_S, MIN_DURATION_S, JobSpec, Priority, Shape
 
 
 def _spec(number: int, estimate: float) -> JobSpec:
@@ -53,3 +53,12 @@
     other = JobSpec("wk-000007", "d", "red", Shape.ARRAY, Priority.NORMAL, 1, 1.0, 1.0, estimate_s=7.0)
     assert history.run_time(other) == timedelta(seconds=7)
     assert _predicted_s(history, 0.0) == 300.0
+
+
+def test_predictions_stay_within_the_range_of_durations() -> None:
+    """A prediction beyond the largest duration ended in an error for every job of the class."""
+    history = _estimates_after_jobs(1e-300)
+    for _ in range(200):
+        history.add_run_time(_spec(0, 1e-300), timedelta(days=300))
+    for estimate in (1e-300, 1.0, 1e12):
+        assert MIN_DURATION_S <= _predicted_s(history, estimate) <= MAX_DURATION_S
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from typing import Any
 
+import msgspec
 import pytest
 
 from gingerspar.protocol.messages import Changes, JobStatus, parse_job
@@ -97,3 +98,31 @@
     assert found is not None
     assert (found.job, found.team, found.cpus, found.tasks) == ("wk-000001", "red", 4.0, 2)
     assert len({id(final.footprint) for final in view.final.values()}) == 1  # equal jobs share one description
+
+
+def test_undecodable_bitmap_makes_only_its_job_unreadable() -> None:
+    """Each read failed at such a record, so that no later change was applied."""
+    service: Any = _Client()
+    view = WatchedView(service, Clock(), rps=100, nodes=3)
+    bad, other = (JobRecord(parse_job(job(number)), JobStatus.PENDING) for number in (1, 2))
+    view.apply("gs/j/wk-000001", bytes(pack(msgspec.structs.replace(bad, finished="A"))), 1)
+    view.apply("gs/j/wk-000002", bytes(pack(other)), 2)
+    assert (set(view.jobs), view.unreadable) == ({"wk-000002"}, {"wk-000001"})
+
+
+def test_failing_listener_stops_neither_other_listeners_nor_later_changes(caplog: pytest.LogCaptureFixture) -> None:
+    """An error in the evaluation of one job's record ended the loop that follows the changes, and the controller."""
+    service: Any = _Client()
+    view = WatchedView(service, Clock(), rps=100, nodes=3)
+    changed: list[str] = []
+
+    def fail(job_id: str) -> None:
+        if job_id == "wk-000001":
+            raise ZeroDivisionError("a fault in the evaluation of one job")
+
+    view.on_job += [fail, changed.append]
+    for number in (1, 2):
+        record = JobRecord(parse_job(job(number)), JobStatus.PENDING)
+        view.apply(f"gs/j/wk-{number:06d}", bytes(pack(record)), number)
+    assert changed == ["wk-000001", "wk-000002"]
+    assert "1 times since the start: record of wk-000001" in caplog.text
