Rent machines for spread jobs in the zones that may take their tasks

Cause: the plan took the cheapest offer without regard to Apart. The tasks that were left fit into no machine of that zone, so the next plan rented there again.

Change: for a spread job the plan goes through the zones, cheapest first, with as many tasks as each may still take; expected releases count only in that zone. Other jobs are planned as before.

Trace spread_rentals on the sources before: "> rents-in b=1: rents ['a=1']". With it: as expected.

--- a/gingerspar/coordination/machines/fleet.py
+++ b/gingerspar/coordination/machines/fleet.py
@@ -132,13 +132,16 @@
                             total.add(placement.spec, -1)
         return total
 
-    def place(self, spec: JobSpec, count: int, duration: timedelta) -> int:
-        """Reserves slots for up to ``count`` tasks in what is not reserved yet; returns how many it found."""
+    def place(self, spec: JobSpec, count: int, duration: timedelta, zone: str | None = None) -> int:
+        """Reserves slots for up to ``count`` tasks in what is not reserved yet, in ``zone`` only if one is given.
+
+        Returns how many it found.
+        """
         placed = 0
         for offer in self._offers if duration > ZERO_DURATION else ():
             if placed >= count:
                 break
-            if not allows(spec, *offer):
+            if not allows(spec, *offer) or (zone is not None and offer[1] != zone):
                 continue
             expected, reserved = self._released_within(offer, duration), self._reserved.setdefault(offer, Usage())
             slots = fits(
@@ -208,29 +211,58 @@
         if spec.one_zone and run.placements:
             zone = run.live[0].machine.zone
             options = [option for option in options if option.offer[1] == zone]
+        if spec.spread:
+            self._add_spread_tasks(run, left, options)
+        else:
+            self._add_tasks(run, left, options)
+
+    def _add_spread_tasks(self, run: JobRun, left: int, options: list[MachineOption]) -> None:
+        """Adds machines for tasks of a job of which each zone takes a limited number, in the cheapest zones first."""
+        headroom = scoring.zone_headroom(run.spec, run.live)
+        assert headroom is not None
+        lowest_costs: dict[str, float] = {}
+        for option in options:
+            zone = option.offer[1]
+            lowest_costs[zone] = min(option.cost, lowest_costs.get(zone, math.inf))
+        for zone in sorted(lowest_costs, key=lambda zone: (lowest_costs[zone], zone)):
+            count = min(left, headroom[zone])
+            if count > 0:
+                zone_options = [option for option in options if option.offer[1] == zone]
+                left -= count - self._add_tasks(run, count, zone_options, zone)
+
+    def _add_tasks(self, run: JobRun, left: int, options: list[MachineOption], zone: str | None = None) -> int:
+        """Adds machines for tasks of a job; returns how many remain without one.
+
+        ``options`` are those of ``zone``, if one is given.
+        """
+        spec = run.spec
         for option in options:
             if left > 0 and option.offer in self._bins:
                 left -= self._bins[option.offer].place(spec, left)
         if left <= 0:
-            return
+            return 0
         options = [option for option in options if not self._is_too_expensive(run, option)]
         left = self._add(run, left, [option for option in options if option.offer[2]])
         if not run.is_gang:
             # A slot that will be released is used instead of a machine that would be up no sooner, if the
             # job's slack allows it. An expensive machine that would be up later is not rented in any case.
             slack = self._cluster_state.slack(run, self._now)
-            left -= self._place_on_expected(spec, left, min(slack, _boot_time(options)))
+            left -= self._place_on_expected(spec, left, min(slack, _boot_time(options)), zone)
             left = self._add(run, left, [option for option in options if not option.expensive])
-            left -= self._place_on_expected(spec, left, _boot_time([option for option in options if option.expensive]))
-        self._add(run, left, options)
+            expensive = [option for option in options if option.expensive]
+            left -= self._place_on_expected(spec, left, _boot_time(expensive), zone)
+        return self._add(run, left, options)
 
-    def _place_on_expected(self, spec: JobSpec, left: int, duration: timedelta) -> int:
-        """Places tasks on capacity that is expected within the duration; returns how many found a slot."""
+    def _place_on_expected(self, spec: JobSpec, left: int, duration: timedelta, zone: str | None) -> int:
+        """Places tasks on capacity that is expected within the duration, in ``zone`` only if one is given.
+
+        Returns how many found a slot.
+        """
         if left <= 0 or duration <= ZERO_DURATION:
             return 0
         if self._expected is None:
             self._expected = ExpectedCapacity(self._cluster_state, self._now)
-        return self._expected.place(spec, left, duration)
+        return self._expected.place(spec, left, duration, zone)
 
     def _add(self, run: JobRun, left: int, options: list[MachineOption]) -> int:
         """Adds machines to the plan for a run's tasks; returns how many tasks remain without one."""
--- a/tests/tracing.py
+++ b/tests/tracing.py
@@ -257,9 +257,10 @@
         elif subject == "needs-attempt":
             needs_attempt = self.dispatcher.runs[words[0]].needs_attempt
             assert needs_attempt == (words[1] == "yes"), f"is {needs_attempt}"
-        elif subject == "rents":
+        elif subject in ("rents", "rents-in"):
             rentals = fleet.plan_rentals(self.dispatcher.cluster_state, fleet.Refusals(), self.now)
-            rents = sorted(f"{name}={count}" for (name, *_), count in rentals.items())
+            field = 0 if subject == "rents" else 1  # of an offer: its type, or its zone
+            rents = sorted(f"{offer[field]}={count}" for offer, count in rentals.items())
             assert rents == words, f"rents {rents}"
         elif subject == "delivery":
             state = self.dispatcher.machines[words[0]].delivery.state.value
