Without free sockets a controller goes on, and serves more clients than it has sockets in turn

Cause: the error of creating a socket was none that the callers of a connection expect, and nothing kept sockets back for the controller's own connections.

Change: transport/sockets.py creates the sockets of outgoing connections; a failure is RequestNotSent, or another try of a peer link. Direct stops are bounded. Closed connections no longer count as open, and those of refused requests are bounded. StepFailures becomes transport/error_counts.py, as sockets count their errors too.

--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -88,7 +88,7 @@
         self._request_relay = RequestRelay(self._node, self._link, self._serve_user)
         self._started = self._clock.now()
         self._load_monitor = LoadMonitor(self._clock)
-        self._server = Server(self._handle, facts.machine_limits.fd_limit, self._clock)
+        self._server = Server(self._handle, facts.machine_limits.fd_limit, self._clock, {names.PATH_REPORT})
         self._types: list[MachineType] = []
         self._peer_status: dict[str, PeerStatus] = {}
         self._contacts = WorkerContacts()
--- a/gingerspar/coordination/cluster/cluster_state.py
+++ b/gingerspar/coordination/cluster/cluster_state.py
@@ -11,7 +11,7 @@
 
 from gingerspar.coordination.cluster.estimates import Estimates
 from gingerspar.coordination.cluster.expected_releases import ExpectedReleases
-from gingerspar.coordination.cluster.failures import JobFailures
+from gingerspar.coordination.cluster.job_failures import JobFailures
 from gingerspar.coordination.cluster.job_order import JobOrder
 from gingerspar.coordination.cluster.job_runs import Backlog, GangState, JobRun
 from gingerspar.coordination.cluster.machine import (
--- a/gingerspar/coordination/cluster/job_failures.py
+++ b/gingerspar/coordination/cluster/job_failures.py
@@ -1,7 +1,6 @@
 """Counts and logs errors that were raised while jobs were evaluated, so that one job never stops the others."""
 
 import logging
-from collections import Counter
 from datetime import timedelta
 
 from gingerspar.transport.retry_pauses import RetryPauses
@@ -28,20 +27,3 @@
             "%s of %s failed, %d times in a row, %d failures of all jobs; skipped for %d s",
             step, job, self._pauses.failures_of(job), self._pauses.failure_count, pause.total_seconds(),
         )  # fmt: skip
-
-
-class StepFailures:
-    """Counts errors of steps that are repeated for as long as the process runs.
-
-    Logs the first error of a step, and then each time that their number has doubled.
-    """
-
-    def __init__(self) -> None:
-        self._counts: Counter[str] = Counter()
-
-    def add(self, step: str) -> None:
-        """Counts the error that is being handled."""
-        self._counts[step] += 1
-        count = self._counts[step]
-        if count & (count - 1) == 0:  # a power of two
-            log.exception("%s failed, %d times so far", step, count)
--- a/gingerspar/coordination/leader/leader_runtime.py
+++ b/gingerspar/coordination/leader/leader_runtime.py
@@ -11,7 +11,6 @@
 from operator import attrgetter
 from typing import Any, ParamSpec
 
-from gingerspar.coordination.cluster.failures import StepFailures
 from gingerspar.coordination.cluster.machine import Machine, MachineState, Placement
 from gingerspar.coordination.cluster.pool import Offer
 from gingerspar.coordination.jobs.job_api import error_answer
@@ -40,6 +39,7 @@
 from gingerspar.storage.view import WatchedView
 from gingerspar.transport.client import Client, NoAnswer
 from gingerspar.transport.clock import Clock
+from gingerspar.transport.error_counts import ErrorCounts
 from gingerspar.transport.server import Answer
 from gingerspar.transport.waits import wait_for_event
 
@@ -69,6 +69,7 @@
 NOTIFY_DELAY = timedelta(seconds=2.2)
 NOTIFY_ROUNDS = 3
 MAX_CONCURRENT_NOTIFICATIONS = 16
+MAX_CONCURRENT_DIRECT_STOPS = 100  # each takes a socket; the answers to reports carry the stops as well
 NOTIFY_CONNECT_TIMEOUT = timedelta(seconds=0.7)
 SUMMARY_INTERVAL = timedelta(seconds=5)
 MAX_SAMPLED_MACHINES = 6  # machines whose addresses are sent to peers
@@ -188,7 +189,8 @@
         self._returned: dict[str, timedelta] = {}  # by machine: time of its return; machine lists may still show it
         self._tasks: list[asyncio.Task[None]] = []
         self._calls: set[asyncio.Task[None]] = set()
-        self._failures = StepFailures()
+        self._direct_stop_slots = asyncio.Semaphore(MAX_CONCURRENT_DIRECT_STOPS)
+        self._failures = ErrorCounts(log)
         self._unapplied_records: set[str] = set()  # jobs whose records could not be applied
         self._last_tick = self._last_summary = clock.now()
         self._roster = Roster(dispatcher.term, client, view, session, clock, self._work.set)
@@ -419,15 +421,16 @@
                 self._spawn(self._send_direct_stop(machine.address, body))
 
     async def _send_direct_stop(self, address: str, body: bytes) -> None:
-        client = Client(address, connect_timeout=timedelta(seconds=1))
-        try:
-            await client.request(
-                "POST", names.PATH_COMMANDS, body, timeout=timedelta(seconds=2), permit=self._authority
-            )
-        except (NoAnswer, ValueError) as error:
-            log.debug("direct stop failed: %s", error)
-        finally:
-            client.close()
+        async with self._direct_stop_slots:
+            client = Client(address, connect_timeout=timedelta(seconds=1))
+            try:
+                await client.request(
+                    "POST", names.PATH_COMMANDS, body, timeout=timedelta(seconds=2), permit=self._authority
+                )
+            except (NoAnswer, ValueError) as error:
+                log.debug("direct stop failed: %s", error)
+            finally:
+                client.close()
 
     # -- notifications --------------------------------------------------------
 
--- a/gingerspar/transport/client.py
+++ b/gingerspar/transport/client.py
@@ -6,13 +6,16 @@
 """
 
 import asyncio
-import socket
 from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
 
 from tornado import http1connection, httputil, iostream
 
+from gingerspar.transport.sockets import new_stream
+
+MAX_ANSWER_BYTES = 256 * 1024 * 1024
+
 
 class NoAnswer(Exception):
     """No complete answer was received; the request may have been carried out, or may be carried out later."""
@@ -54,11 +57,13 @@
         self._connect_timeout = connect_timeout.total_seconds()
         self._idle: deque[tuple[iostream.IOStream, http1connection.HTTP1Connection]] = deque()
         self._max_idle = max_idle
-        self._params = http1connection.HTTP1ConnectionParameters(no_keep_alive=False, max_body_size=256 * 1024 * 1024)
+        self._params = http1connection.HTTP1ConnectionParameters(no_keep_alive=False, max_body_size=MAX_ANSWER_BYTES)
 
     async def _open(self) -> tuple[iostream.IOStream, http1connection.HTTP1Connection]:
-        stream = iostream.IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM), max_buffer_size=256 * 1024 * 1024)
-        stream.set_nodelay(True)
+        try:
+            stream = new_stream(MAX_ANSWER_BYTES)
+        except OSError as error:
+            raise RequestNotSent(f"{self._address}: {error!r}") from error
         try:
             await asyncio.wait_for(stream.connect(self._target), self._connect_timeout)
         except (TimeoutError, iostream.StreamClosedError, OSError) as error:
@@ -93,7 +98,7 @@
         else:
             stream, connection = await self._open()
         if permit is not None and not permit():
-            self._idle.append((stream, connection))
+            self._keep_or_close(stream, connection, reusable=True)
             raise RequestNotSent(f"{self._address}: no longer permitted")
         reply = _Reply()
         reusable = False
@@ -104,14 +109,19 @@
         except (TimeoutError, iostream.StreamClosedError, httputil.HTTPInputError, OSError) as error:
             raise NoAnswer(f"{self._address}: {error!r}") from error
         finally:
-            if reusable and len(self._idle) < self._max_idle:
-                self._idle.append((stream, connection))
-            else:
-                stream.close()
+            self._keep_or_close(stream, connection, reusable=reusable)
         if not reply.complete:
             raise NoAnswer(f"{self._address}: connection closed before the answer was complete")
         return reply.status, b"".join(reply.chunks)
 
+    def _keep_or_close(
+        self, stream: iostream.IOStream, connection: http1connection.HTTP1Connection, *, reusable: bool
+    ) -> None:
+        if reusable and len(self._idle) < self._max_idle:
+            self._idle.append((stream, connection))
+        else:
+            stream.close()
+
     async def _exchange(
         self, connection: http1connection.HTTP1Connection, reply: _Reply, method: str, path: str, body: bytes | None
     ) -> None:
--- /dev/null
+++ b/gingerspar/transport/error_counts.py
@@ -0,0 +1,19 @@
+"""Counts errors that may occur again and again, and logs them without flooding the log."""
+
+import logging
+from collections import Counter
+
+
+class ErrorCounts:
+    """Counts errors by what failed; logs the first of each, and then each time that its number has doubled."""
+
+    def __init__(self, log: logging.Logger) -> None:
+        self._log = log
+        self._counts: Counter[str] = Counter()
+
+    def add(self, what: str, *, traceback: bool = True) -> None:
+        """Counts the error that is being handled; it is logged with its traceback, or with its text alone."""
+        self._counts[what] += 1
+        count = self._counts[what]
+        if count & (count - 1) == 0:  # a power of two
+            self._log.error("%s failed, %d times so far", what, count, exc_info=traceback)
--- a/gingerspar/transport/peerlink.py
+++ b/gingerspar/transport/peerlink.py
@@ -6,8 +6,8 @@
 """
 
 import asyncio
+import contextlib
 import logging
-import socket
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 
@@ -15,6 +15,7 @@
 
 from gingerspar.transport import netstrings
 from gingerspar.transport.clock import Clock
+from gingerspar.transport.sockets import new_stream
 
 log = logging.getLogger(__name__)
 
@@ -82,19 +83,20 @@
     async def run(self) -> None:
         """Keeps the connection open: reconnects whenever it fails or is closed."""
         while True:
-            stream = iostream.IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
-            try:
-                stream.set_nodelay(True)
-                await asyncio.wait_for(stream.connect(self._target), CONNECT_TIMEOUT.total_seconds())
-                self._stream, self._unsent_bytes, self._connected_at = stream, 0, self._clock.now()
-                await stream.read_until_close()  # peers never write here: returns when the connection is closed
-            except (TimeoutError, iostream.StreamClosedError, OSError):
-                pass
-            finally:
-                self._stream = None
-                stream.close()
+            with contextlib.suppress(TimeoutError, iostream.StreamClosedError, OSError):
+                await self._connect_until_closed()
             await asyncio.sleep(RECONNECT_INTERVAL.total_seconds())
 
+    async def _connect_until_closed(self) -> None:
+        stream = new_stream()
+        try:
+            await asyncio.wait_for(stream.connect(self._target), CONNECT_TIMEOUT.total_seconds())
+            self._stream, self._unsent_bytes, self._connected_at = stream, 0, self._clock.now()
+            await stream.read_until_close()  # peers never write here: returns when the connection is closed
+        finally:
+            self._stream = None
+            stream.close()
+
     def send(self, frame: bytes) -> bool:
         """Returns False if the frame was dropped."""
         stream = self._stream
--- a/gingerspar/transport/server.py
+++ b/gingerspar/transport/server.py
@@ -8,7 +8,7 @@
 import logging
 import math
 from collections import OrderedDict
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Container, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 from functools import partial
@@ -17,6 +17,10 @@
 from tornado import http1connection, httpserver, httputil, iostream
 
 from gingerspar.transport.clock import Clock
+from gingerspar.transport.sockets import max_accepted
+
+ServerConnection = http1connection.HTTP1ServerConnection
+IdleConnections = OrderedDict[ServerConnection, timedelta]
 
 log = logging.getLogger(__name__)
 
@@ -25,6 +29,7 @@
 # Idle timeout while sockets are scarce. Workers and polling users send requests far more often than this.
 CROWDED_IDLE_TIMEOUT = timedelta(seconds=15)
 CROWDED_SOCKET_SHARE = 0.75  # sockets count as scarce above this share of the process's socket limit
+CLOSED_LOG_INTERVAL = timedelta(seconds=10)  # between log lines about connections closed for want of sockets
 
 
 @dataclass(slots=True)
@@ -72,12 +77,11 @@
 
 
 class _RequestReader(httputil.HTTPMessageDelegate):
-    """Collects one request and passes it to ``on_request`` when it is complete."""
+    """Collects one request and passes it to the server when it is complete."""
 
-    def __init__(
-        self, on_request: Callable[[Request, httputil.HTTPConnection], None], connection: httputil.HTTPConnection
-    ):
-        self._on_request = on_request
+    def __init__(self, server: "Server", server_connection: ServerConnection, connection: httputil.HTTPConnection):
+        self._server = server
+        self._server_connection = server_connection
         self._connection = connection
         self._start_line: httputil.RequestStartLine | None = None
         self._chunks: list[bytes] = []
@@ -87,6 +91,7 @@
     ) -> None:
         assert isinstance(start_line, httputil.RequestStartLine)
         self._start_line = start_line
+        self._server.request_started(self._server_connection, start_line.path)
 
     def data_received(self, chunk: bytes) -> None:
         self._chunks.append(chunk)
@@ -94,7 +99,17 @@
     def finish(self) -> None:
         assert self._start_line is not None
         path, _, query = self._start_line.path.partition("?")
-        self._on_request(Request(self._start_line.method, path, query, b"".join(self._chunks)), self._connection)
+        request = Request(self._start_line.method, path, query, b"".join(self._chunks))
+        self._server.handle_request(request, self._connection)
+
+
+class _HttpServer(httpserver.HTTPServer):
+    """Tornado's server, which does not tell its delegate that a connection has been closed."""
+
+    def on_close(self, server_conn: object) -> None:
+        super().on_close(server_conn)
+        assert isinstance(self.request_callback, Server)
+        self.request_callback.on_close(server_conn)
 
 
 class Server(httputil.HTTPServerConnectionDelegate):
@@ -102,21 +117,42 @@
 
     ``max_sockets`` is the number of sockets that this process may have. Workers that reconnect after a
     network partition, or are redirected between nodes, leave an unused connection behind for each new one;
-    with a thousand workers, these would prevent new connections from being accepted.
+    with a thousand workers, these would prevent new connections from being accepted. Once the accepted connections
+    have used up their share (``sockets.max_accepted``), each new one replaces the one that was answered last, whose
+    client connects again for its next request. (Replacing the one idle for longest would close, in turn, the
+    connections of all clients shortly before their next requests.) Connections whose last request was for a path in
+    ``essential_paths`` are replaced last.
     """
 
-    def __init__(self, handler: Handler, max_sockets: float = math.inf, clock: Clock | None = None) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        max_sockets: float = math.inf,
+        clock: Clock | None = None,
+        essential_paths: Container[str] = (),
+    ) -> None:
         self._handler = handler
         self._crowded_above = max_sockets * CROWDED_SOCKET_SHARE
+        self._max_connections = max_accepted(max_sockets)
+        self._essential_paths = essential_paths
         self._unfinished: set[asyncio.Future[Any]] = set()
-        self._http = httpserver.HTTPServer(
+        self._http = _HttpServer(
             self, max_body_size=MAX_BODY_BYTES, idle_connection_timeout=IDLE_TIMEOUT.total_seconds()
         )
         # A timer is a considerable part of the cost of a request, so tornado's idle timer covers only the first
-        # request of a connection. After that, ``_last_request_at`` lists the connections, least recently used first.
+        # request of a connection. After that, the idle connections are listed, idle for longest first.
         self._params_without_timer = http1connection.HTTP1ConnectionParameters(max_body_size=MAX_BODY_BYTES)
         self._clock = clock or Clock()
-        self._last_request_at: OrderedDict[http1connection.HTTP1ServerConnection, timedelta] = OrderedDict()
+        self._connections: set[ServerConnection] = set()  # accepted and not closed
+        # When the connections that wait for a request began to wait, in that order: those that wait for their first
+        # one, those whose last one was for an essential path, and all others.
+        self._unserved: IdleConnections = OrderedDict()
+        self._idle_essential: IdleConnections = OrderedDict()
+        self._idle: IdleConnections = OrderedDict()
+        self._essential: set[ServerConnection] = set()  # connections whose last request was for an essential path
+        self.replaced_count = 0  # idle connections closed to make room for new ones
+        self.refused_count = 0  # new connections closed at once, as none was idle
+        self._logged_at: timedelta | None = None
 
     def listen(self, port: int, address: str) -> None:
         self._http.listen(port, address)
@@ -129,34 +165,84 @@
         closing.add_done_callback(self._unfinished.discard)
 
     def start_request(self, server_conn: object, request_conn: httputil.HTTPConnection) -> httputil.HTTPMessageDelegate:
-        """Called by tornado before it reads each request; the response is written to ``request_conn``."""
-        assert isinstance(server_conn, http1connection.HTTP1ServerConnection)
+        """Called by tornado before it waits for each request; the response is written to ``request_conn``."""
+        assert isinstance(server_conn, ServerConnection)
         now = self._clock.now()
-        if server_conn in self._last_request_at:
-            self._last_request_at.move_to_end(server_conn)
-        else:
+        if server_conn.params is not self._params_without_timer:  # a new connection
             server_conn.params = self._params_without_timer
-        self._last_request_at[server_conn] = now
-        self._close_idle(now)
-        return _RequestReader(self._handle_request, request_conn)
+            self._connections.add(server_conn)
+            self._close_idle(now)
+            if len(self._connections) <= self._max_connections or self._make_room(server_conn, now):
+                self._unserved[server_conn] = now
+        elif server_conn in self._connections:
+            idle = self._idle_essential if server_conn in self._essential else self._idle
+            idle[server_conn] = now
+            self._close_idle(now)
+        return _RequestReader(self, server_conn, request_conn)
+
+    def request_started(self, connection: ServerConnection, path: str) -> None:
+        """Called when the head of a request has arrived: the connection is not idle until it has been answered."""
+        self._remove_idle(connection)
+        if path in self._essential_paths:
+            self._essential.add(connection)
+        else:
+            self._essential.discard(connection)
 
     def on_close(self, server_conn: object) -> None:
-        """Called by tornado when a connection has been closed."""
-        assert isinstance(server_conn, http1connection.HTTP1ServerConnection)
-        self._last_request_at.pop(server_conn, None)
+        """Called when a connection has been closed."""
+        assert isinstance(server_conn, ServerConnection)
+        self._forget(server_conn)
+
+    def _remove_idle(self, connection: ServerConnection) -> None:
+        for idle in (self._unserved, self._idle, self._idle_essential):
+            idle.pop(connection, None)
+
+    def _forget(self, connection: ServerConnection) -> None:
+        self._connections.discard(connection)
+        self._remove_idle(connection)
+        self._essential.discard(connection)
+
+    def _close(self, connection: ServerConnection) -> None:
+        self._forget(connection)  # it counts no more, although tornado reports the end of the connection later
+        connection.stream.close()
+
+    def _make_room(self, new_connection: ServerConnection, now: timedelta) -> bool:
+        """Closes an idle connection, or the new one if none is idle; returns whether there is room for the new one."""
+        replaced = self._replaceable_connection()
+        if replaced is not None:
+            self._close(replaced)
+            self.replaced_count += 1
+        else:
+            self._close(new_connection)
+            self.refused_count += 1
+        if self._logged_at is None or now - self._logged_at >= CLOSED_LOG_INTERVAL:
+            self._logged_at = now
+            log.error(
+                "no sockets left for accepted connections: %d are open; since the start %d idle ones were closed "
+                "for new ones and %d new ones refused",
+                len(self._connections), self.replaced_count, self.refused_count,
+            )  # fmt: skip
+        return replaced is not None
+
+    def _replaceable_connection(self) -> ServerConnection | None:
+        if self._idle:
+            return next(reversed(self._idle))
+        if self._unserved:
+            return next(iter(self._unserved))
+        return next(reversed(self._idle_essential), None)
 
     def _close_idle(self, now: timedelta) -> None:
         """Closes idle connections: machines that lose power leave connections open that are never used again."""
-        while self._last_request_at:
-            oldest, requested_at = next(iter(self._last_request_at.items()))
-            if now - requested_at <= (
-                CROWDED_IDLE_TIMEOUT if len(self._last_request_at) > self._crowded_above else IDLE_TIMEOUT
-            ):
-                return
-            del self._last_request_at[oldest]
-            oldest.stream.close()
-
-    def _handle_request(self, request: Request, connection: httputil.HTTPConnection) -> None:
+        for idle in (self._unserved, self._idle, self._idle_essential):
+            while idle:
+                oldest, idle_since = next(iter(idle.items()))
+                crowded = len(self._connections) > self._crowded_above
+                if now - idle_since <= (CROWDED_IDLE_TIMEOUT if crowded else IDLE_TIMEOUT):
+                    break
+                self._close(oldest)
+
+    def handle_request(self, request: Request, connection: httputil.HTTPConnection) -> None:
+        """Called when a request is complete."""
         try:
             answer = self._handler(request)
         except Exception:
--- a/tests/test_process_restarts.py
+++ b/tests/test_process_restarts.py
@@ -11,7 +11,7 @@
 import pytest
 from tornado import iostream
 
-from gingerspar.coordination.jobs.claims import RecordChange, released
+from gingerspar.coordination.jobs.record_changes import RecordChange, released
 from gingerspar.coordination.jobs.relay import RequestRelay
 from gingerspar.protocol import peers
 from gingerspar.storage.budgets import Urgency
