Count the hold of an answer when judging whether it was lost

Cause: its answers are held for 2 s, and its next report comes up to 3.1 s later: more than the 4.5 s that a worker needs at least to try the other controllers. Probes raise its sequence number, so both signs were there.

Change: a third sign is required: the report must also come later after the answer was sent than a worker that received it would report.

Trace idle_machine_with_held_answers fails on the sources before this commit; a lost answer is still noticed.

--- a/gingerspar/coordination/cluster/delivery.py
+++ b/gingerspar/coordination/cluster/delivery.py
@@ -59,15 +59,23 @@
         self.state = state
 
 
-def tried_other_controllers(elapsed: timedelta, seq_increase: int, node_count: int, report_interval: timedelta) -> bool:
+def tried_other_controllers(
+    since_report: timedelta,
+    since_answer: timedelta,
+    seq_increase: int,
+    node_count: int,
+    report_interval: timedelta,
+) -> bool:
     """Returns whether a worker has tried the other controllers between two reports received here.
 
-    ``elapsed`` is the time between the two reports, ``report_interval`` the usual one, and ``seq_increase`` the
-    growth of the report's sequence number: a worker that cycles through them sends a report to each of ``node_count``
-    controllers. Both signs are required: after a pause of its process a controller receives reports late,
-    and commands sent directly use up sequence numbers too.
+    ``since_report`` is the time since the earlier of the two reports, ``since_answer`` that since the answer to it was
+    sent, ``report_interval`` the usual interval, and ``seq_increase`` the growth of the report's sequence number: a
+    worker that cycles through them sends a report to each of ``node_count`` controllers. All signs are required: after
+    a pause of its process a controller receives reports late, commands sent directly and probes use up sequence
+    numbers too, and a worker whose answer was held sends its next report that much later.
     """
     return (
-        elapsed > max(MIN_CONTROLLER_SWITCH_TIME, report_interval * 1.25 + timedelta(seconds=1))
+        since_report > MIN_CONTROLLER_SWITCH_TIME
+        and since_answer > report_interval * 1.25 + timedelta(seconds=1)
         and seq_increase >= node_count
     )
--- a/gingerspar/coordination/cluster/machine.py
+++ b/gingerspar/coordination/cluster/machine.py
@@ -234,6 +234,7 @@
     seq: int = 0  # sequence number of that report in its session
     min_session: int = 0  # reports of earlier sessions are stale: their lease has expired
     last_answered_at: timedelta | None = None  # arrival of the last report that was answered with status 200
+    answer_sent_at: timedelta | None = None  # when an answer with commands, perhaps none, was last sent
     # When this leader first sent its token to the worker; None once a report shows the token.
     token_sent_at: timedelta | None = None
     token_session: int = 0  # last session in which a report showed this leader's token
--- a/gingerspar/coordination/leader/dispatcher.py
+++ b/gingerspar/coordination/leader/dispatcher.py
@@ -261,8 +261,9 @@
         # A new session counts as a full round of the controllers: the worker's lease has run out, unless it was
         # restarted just now.
         seq_increase = self._nodes if report.session > machine.session else report.seq - machine.seq
+        answer_sent_at = machine.answer_sent_at or machine.last_answered_at
         return not tried_other_controllers(
-            now - machine.last_answered_at, seq_increase, self._nodes, self.workers.report
+            now - machine.last_answered_at, now - answer_sent_at, seq_increase, self._nodes, self.workers.report
         )
 
     def _record_answer_delivery(self, machine: Machine, answer_received: bool, now: timedelta) -> None:
@@ -482,6 +483,7 @@
             return self._stops_for_ended_jobs(report)
         if not machine.settled:
             return []
+        machine.answer_sent_at = now
         stopping = [p for p in machine.live.values() if p.stop_grace is not None and p.state is not TaskState.PLANNED]
         stopping_ended_jobs = [placement for placement in stopping if self.runs[placement.job].ended]
         commands = [self._stop_with_answer(placement) for placement in stopping_ended_jobs[:MAX_COMMANDS_PER_ANSWER]]
--- a/tests/tracing.py
+++ b/tests/tracing.py
@@ -194,7 +194,10 @@
         self.dispatcher.record_direct_notification(self.dispatcher.machines[words[0]], self._read_report(words))
 
     def _report(self, words: list[str]) -> None:
-        """Handles a report: ``report m1 seq=3 token=1 tasks=wk-1/0@1:running,wk-2/0@1:ended:done``."""
+        """Handles a report: ``report m1 seq=3 token=1 tasks=wk-1/0@1:running,wk-2/0@1:ended:done``.
+
+        With ``held=2``, its answer is sent 2 s later.
+        """
         report = self._read_report(words)
         self.refused, self.answer = "", None
         try:
@@ -206,7 +209,8 @@
             self.refused = "outdated"
             return
         self.dispatcher.place_tasks(self.now)
-        self.answer = self.dispatcher.take_commands(machine, report, self.now)
+        answered_at = self.now + _seconds(_fields(words[1:]).get("held", "0"))
+        self.answer = self.dispatcher.take_commands(machine, report, answered_at)
 
     def _read_report(self, words: list[str]) -> Report:
         options = _fields(words[1:])
