Load the records of ended jobs page by page

Cause: all records were kept encoded until the last page was read, and what that takes is not given back to the system.

Change: records of ended jobs, which no longer change, are applied with each page and only what is kept of them stays. All other keys are applied together after the last page, as before.

Ended jobs still have no bound.

test_records_of_ended_jobs_are_not_kept_until_all_keys_are_loaded fails on the sources before this commit.

--- a/gingerspar/storage/view.py
+++ b/gingerspar/storage/view.py
@@ -231,15 +231,21 @@
         return True
 
     async def _load(self) -> None:
-        """Reads all keys, page by page; changes are then read from the first page's revision on."""
+        """Reads all keys, page by page; changes are then read from the first page's revision on.
+
+        Records of ended jobs are applied with each page: there are far more of them than of all others, and they no
+        longer change. All other keys are applied together, after the last page.
+        """
         revision: int | None = None
         since: str | None = None
+        key_count = 0
         items: list[Item] = []
         while True:
             page = await self._client.page(records.PREFIX, since, 1000)
             if revision is None:
                 revision = page.revision
-            items += page.items
+            key_count += len(page.items)
+            items += [item for item in page.items if not self._apply_if_ended(item)]
             if not page.more or not page.items:
                 break
             since = page.items[-1].key
@@ -251,7 +257,31 @@
             self.apply(item.key, bytes(item.value), item.version)
         self.revision = revision
         self.phase = Phase.FOLLOWING
-        log.info("view: loaded %d keys at revision %d", len(items), revision)
+        log.info("view: loaded %d keys at revision %d", key_count, revision)
+
+    def _apply_if_ended(self, item: Item) -> bool:
+        """Applies the record of an ended job; returns False for any other key."""
+        job = item.key.removeprefix(records.JOBS)
+        if job == item.key:
+            return False
+        try:
+            record = msgspec.json.decode(item.value, type=JobRecord)
+        except msgspec.MsgspecError:
+            return False
+        if not record.status.final:
+            return False
+        if job not in self.final:
+            self._apply_ended(job, record, item.version)
+        return True
+
+    def _apply_ended(self, job: str, record: JobRecord, version: int) -> None:
+        self.unreadable.discard(job)
+        self.jobs.pop(job, None)
+        self._chunks.pop(job, None)
+        footprint = records.footprint(record.spec)
+        footprint = self._footprints.setdefault(footprint, footprint)
+        self.final[job] = FinalRecord(record.status, record.spec.tasks, version, footprint)
+        self._notify(f"record of {job}", self.on_job, job)
 
     def _known_versions(self) -> list[tuple[str, int]]:
         """Key and version of each unfinished job, node and roster group in the view."""
@@ -297,7 +327,7 @@
             return  # job records are never deleted
         try:
             record = msgspec.json.decode(value, type=JobRecord)
-            finished = TaskSet(0) if record.status.final else self._finished_tasks(record)
+            finished = None if record.status.final else self._finished_tasks(record)
         except (msgspec.MsgspecError, ValueError) as error:
             # A single unreadable record must neither prevent the view from following the other records nor prevent
             # writes of other jobs that would share a transaction with it.
@@ -307,15 +337,11 @@
                 self.jobs.pop(job, None)
                 self._notify(f"record of {job}", self.on_job, job)
             return
+        if finished is None:
+            self._apply_ended(job, record, version)
+            return
         self.unreadable.discard(job)
-        if record.status.final:
-            self.jobs.pop(job, None)
-            self._chunks.pop(job, None)
-            footprint = records.footprint(record.spec)
-            footprint = self._footprints.setdefault(footprint, footprint)
-            self.final[job] = FinalRecord(record.status, record.spec.tasks, version, footprint)
-        else:
-            self.jobs[job] = Versioned(record, version, finished)
+        self.jobs[job] = Versioned(record, version, finished)
         self._notify(f"record of {job}", self.on_job, job)
 
     def _finished_tasks(self, record: JobRecord) -> TaskSet:
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -1,13 +1,14 @@
 """The watched view: late and lost reads, undecodable records, and what it remembers of ended jobs."""
 
 import asyncio
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
 import msgspec
 import pytest
 
-from gingerspar.protocol.messages import Changes, JobStatus, parse_job
+from gingerspar.protocol.messages import Changes, Item, Items, JobStatus, parse_job
 from gingerspar.storage.client import Unavailable
 from gingerspar.storage.records import JobRecord, pack
 from gingerspar.storage.view import READ_RETRY_AFTER, Phase, WatchedView
@@ -126,3 +127,53 @@
         view.apply(f"gs/j/wk-{number:06d}", bytes(pack(record)), number)
     assert changed == ["wk-000001", "wk-000002"]
     assert "1 times since the start: record of wk-000001" in caplog.text
+
+
+class _PagedClient(_Client):
+    """Holds records of jobs, two on each page; ``on_page`` is called before each page is returned."""
+
+    value_bytes = 8192
+
+    def __init__(self, statuses: list[JobStatus]) -> None:
+        super().__init__()
+        self.items = [
+            Item(f"gs/j/wk-{number:06d}", pack(JobRecord(parse_job(job(number)), status)), number + 1)
+            for number, status in enumerate(statuses)
+        ]
+        self.on_page: Callable[[], None] = lambda: None
+
+    async def page(self, prefix: str, since: str | None, limit: int) -> Items:
+        self.on_page()
+        rest = [item for item in self.items if since is None or item.key > since]
+        return Items(rest[:2], len(self.items), len(rest) > 2)
+
+
+def test_records_of_ended_jobs_are_not_kept_until_all_keys_are_loaded() -> None:
+    """All records were held encoded until the last page: half of the memory that a controller used after its start."""
+    client = _PagedClient([JobStatus.DONE, JobStatus.PENDING, JobStatus.CANCELLED, JobStatus.RUNNING, JobStatus.DONE])
+    service: Any = client
+    view = WatchedView(service, Clock(), rps=100, nodes=3)
+    seen: list[tuple[list[str], list[str]]] = []
+    client.on_page = lambda: seen.append((sorted(view.final), sorted(view.jobs)))
+    asyncio.run(view._load())
+    assert seen == [
+        ([], []),
+        (["wk-000000"], []),
+        (["wk-000000", "wk-000002"], []),  # unfinished jobs are applied together, after the last page
+    ]
+    assert sorted(view.final) == ["wk-000000", "wk-000002", "wk-000004"]
+    assert (sorted(view.jobs), view.revision, view.phase) == (["wk-000001", "wk-000003"], 5, Phase.FOLLOWING)
+
+
+def test_job_that_ends_before_the_keys_are_loaded_again_is_ended_once() -> None:
+    client = _PagedClient([JobStatus.RUNNING, JobStatus.RUNNING])
+    service: Any = client
+    view = WatchedView(service, Clock(), rps=100, nodes=3)
+    changed: list[str] = []
+    view.on_job.append(changed.append)
+    asyncio.run(view._load())
+    client.items = _PagedClient([JobStatus.DONE, JobStatus.RUNNING]).items
+    client.items[0].version = 9
+    asyncio.run(view._load())
+    assert (sorted(view.final), sorted(view.jobs)) == (["wk-000000"], ["wk-000001"])
+    assert changed == ["wk-000000", "wk-000001", "wk-000000"]
