Bound the tasks of a machine by what its report can list

Cause: a report lists all tasks of its machine and is refused above 64 KiB, and nothing bounded their number.

Change: at most 500 tasks on a machine, those that have exited and are still listed included: in placement, reservations, capacity indexes and planning.

--- a/gingerspar/coordination/cluster/capacity_index.py
+++ b/gingerspar/coordination/cluster/capacity_index.py
@@ -13,7 +13,7 @@
 
 from sortedcontainers import SortedList
 
-from gingerspar.coordination.cluster.machine import Machine, fits
+from gingerspar.coordination.cluster.machine import MAX_TASKS_PER_MACHINE, Machine, fits
 from gingerspar.protocol.messages import JobSpec
 
 MAX_INDEXES = 24  # kinds of task that are cached; the least recently queried one is evicted first
@@ -127,12 +127,12 @@
 
 def _machine_capacity(machine: Machine, spec: JobSpec) -> Capacity:
     cpus, gpus, memory = machine.free()
-    free = fits(spec, cpus, gpus, memory)
+    free = min(fits(spec, cpus, gpus, memory), machine.free_task_slots())
     if not machine.live:
         return Capacity(free)
     for share in machine.usage_by_priority[spec.priority.rank + 1 :]:
         cpus, gpus, memory = cpus + share.cpus, gpus + share.gpus, memory + share.memory_gb
-    return Capacity(free, max(fits(spec, cpus, gpus, memory) - free, 0))
+    return Capacity(free, max(min(fits(spec, cpus, gpus, memory), MAX_TASKS_PER_MACHINE) - free, 0))
 
 
 class CapacityIndexes:
--- a/gingerspar/coordination/cluster/machine.py
+++ b/gingerspar/coordination/cluster/machine.py
@@ -166,9 +166,14 @@
     return count if count > 0 else 0
 
 
+# A worker's report lists all tasks on its machine, also those that have exited, and may be 64 KiB long. A task takes up
+# to 130 bytes in it.
+MAX_TASKS_PER_MACHINE = 500
+
+
 def task_capacity(machine_type: MachineType, spec: JobSpec) -> int:
     """Returns how many tasks of the job fit on an empty machine of this type."""
-    return fits(spec, machine_type.cpus, machine_type.gpus, machine_type.memory_gb)
+    return min(fits(spec, machine_type.cpus, machine_type.gpus, machine_type.memory_gb), MAX_TASKS_PER_MACHINE)
 
 
 def cost_per_task(machine_type: MachineType, spot: bool, spec: JobSpec) -> float:
@@ -336,6 +341,10 @@
             machine_type.memory_gb - used.memory_gb - reserved.memory_gb,
         )
 
+    def free_task_slots(self) -> int:
+        """Returns how many more tasks of any size the machine may have."""
+        return max(MAX_TASKS_PER_MACHINE - len(self.live) - len(self.exited_placements), 0)
+
     def unused(self) -> tuple[float, float, float]:
         """Returns the processors, accelerators and GB of memory that no task uses, including reserved ones."""
         machine_type, used = self.machine_type, self.used
@@ -346,7 +355,7 @@
     def tasks_that_fit(self, spec: JobSpec) -> int:
         """Returns how many more tasks of the job fit into the free capacity."""
         cpus, gpus, memory = self.free()
-        return fits(spec, cpus, gpus, memory)
+        return min(fits(spec, cpus, gpus, memory), self.free_task_slots())
 
     def forecast(self) -> UsageForecast:
         """Returns the usage forecast, which is computed again only after a change."""
--- a/gingerspar/coordination/machines/fleet.py
+++ b/gingerspar/coordination/machines/fleet.py
@@ -14,7 +14,14 @@
 from gingerspar.coordination.cluster.cluster_state import ClusterState, MachineOption
 from gingerspar.coordination.cluster.expected_releases import RunTimes
 from gingerspar.coordination.cluster.job_runs import JobRun
-from gingerspar.coordination.cluster.machine import ZERO_DURATION, Machine, MachineState, Usage, fits
+from gingerspar.coordination.cluster.machine import (
+    MAX_TASKS_PER_MACHINE,
+    ZERO_DURATION,
+    Machine,
+    MachineState,
+    Usage,
+    fits,
+)
 from gingerspar.coordination.cluster.pool import Offer, allows
 from gingerspar.coordination.placement import scoring
 from gingerspar.protocol.messages import JobSpec, MachineType, Priority
@@ -58,6 +65,27 @@
         return self.closed_until.get(offer, now) <= now
 
 
+@dataclass(slots=True)
+class _PartlyFilled:
+    """What is left of a machine on which tasks have been placed."""
+
+    cpus: float
+    gpus: float
+    memory_gb: float
+    tasks: int = 0  # placed on it
+
+    def place(self, spec: JobSpec, count: int) -> int:
+        """Places up to ``count`` tasks; returns how many found a slot."""
+        fitting = min(fits(spec, self.cpus, self.gpus, self.memory_gb), MAX_TASKS_PER_MACHINE - self.tasks, count)
+        if fitting <= 0:
+            return 0
+        self.cpus -= spec.cpus * fitting
+        self.gpus -= spec.gpus * fitting
+        self.memory_gb -= spec.memory_gb * fitting
+        self.tasks += fitting
+        return fitting
+
+
 class MachineBins:
     """Simulated filling of the machines of one offer that are booting or planned for rental."""
 
@@ -65,7 +93,7 @@
         self.offer = offer
         self._machine_type = machine_type
         self._empty_count = 0
-        self._partial: list[tuple[float, float, float]] = []  # free (CPUs, GPUs, GB) of some partly filled machines
+        self._partial: list[_PartlyFilled] = []  # some of the partly filled machines
 
     def add(self, count: int) -> None:
         self._empty_count += count
@@ -73,34 +101,21 @@
     def place(self, spec: JobSpec, count: int) -> int:
         """Places up to ``count`` tasks; returns how many found a slot."""
         placed = 0
-        for index, (cpus, gpus, memory) in enumerate(self._partial):
-            fitting = min(fits(spec, cpus, gpus, memory), count - placed)
-            if fitting > 0:
-                self._partial[index] = _subtract((cpus, gpus, memory), spec, fitting)
-                placed += fitting
-        per_machine = scoring.task_capacity(self._machine_type, spec)
+        for machine in self._partial:
+            placed += machine.place(spec, count - placed)
+        machine_type = self._machine_type
+        per_machine = scoring.task_capacity(machine_type, spec)
         while placed < count and self._empty_count and per_machine:
-            filled = min((count - placed) // per_machine, self._empty_count)
-            if filled:
-                self._empty_count -= filled
-                placed += filled * per_machine
-                on_last = per_machine
-            else:
-                self._empty_count -= 1
-                on_last = count - placed
-                placed += on_last
-            remainder = _subtract(
-                (self._machine_type.cpus, self._machine_type.gpus, self._machine_type.memory_gb), spec, on_last
-            )
-            self._partial = [remainder, *self._partial][:MAX_PARTIAL_MACHINES]
+            # All full machines but one are alike and need no bin of their own.
+            filled = max(min((count - placed) // per_machine, self._empty_count) - 1, 0)
+            self._empty_count -= filled + 1
+            placed += filled * per_machine
+            last = _PartlyFilled(machine_type.cpus, machine_type.gpus, machine_type.memory_gb)
+            placed += last.place(spec, count - placed)
+            self._partial = [last, *self._partial][:MAX_PARTIAL_MACHINES]
         return placed
 
 
-def _subtract(free: tuple[float, float, float], spec: JobSpec, count: int) -> tuple[float, float, float]:
-    cpus, gpus, memory = free
-    return cpus - spec.cpus * count, gpus - spec.gpus * count, memory - spec.memory_gb * count
-
-
 class ExpectedCapacity:
     """Capacity that running tasks will probably release before a machine rented now could be up."""
 
