A 5xx answer to a commit leaves its outcome unknown

Cause: any unexpected status counted as "not executed", although a 500 may come after the transaction was executed. 503 and 429 still mean that it was not.

tests/test_transaction_limits.py: Unavailable was raised for a 500 before, OutcomeUnknown now.

--- a/gingerspar/storage/client.py
+++ b/gingerspar/storage/client.py
@@ -198,7 +198,8 @@
             raise LeaseExpired
         if 400 <= status < 500:
             raise self._rejected(transaction, len(body), f"{status} {answer[:200]!r}")
-        raise Unavailable(f"commit: {status} {answer[:200]!r}")
+        # An error inside the service may have come after the transaction was executed.
+        raise OutcomeUnknown(f"commit: {status} {answer[:200]!r}")
 
     def _rejected(self, transaction: messages.Transaction, size: int, reason: str) -> Rejected:
         """Counts and logs a rejected transaction; returns the error to raise."""
--- a/tests/test_transaction_limits.py
+++ b/tests/test_transaction_limits.py
@@ -14,7 +14,7 @@
 from gingerspar.storage import records
 from gingerspar.storage.batches import commit_in_parts
 from gingerspar.storage.budgets import Urgency
-from gingerspar.storage.client import Rejected, StateClient
+from gingerspar.storage.client import OutcomeUnknown, Rejected, StateClient, Unavailable
 from gingerspar.storage.records import Claimant, JobRecord, TaskSet
 from gingerspar.storage.transactions import MAX_BATCH_BYTES, TransactionBuilder, TransactionLimits
 from gingerspar.storage.view import WatchedView
@@ -99,19 +99,19 @@
 # -- what the client logs -----------------------------------------------------------------------------------------
 
 
-async def _commit_rejected(value_bytes: int) -> int:
-    """Commits twice to a service that answers 400; returns the number of rejections that the client has counted."""
+async def _commit_twice(answer: Answer, expected: type[Exception], value_bytes: int = 20) -> int:
+    """Commits to a service that gives this answer; returns the number of rejections that the client has counted."""
 
-    async def reject(request: Request) -> Answer:
-        return Answer(400, b'{"error":"transaction larger than 64 KiB"}')
+    async def handle(request: Request) -> Answer:
+        return answer
 
-    server, port = Server(reject), free_port()
+    server, port = Server(handle), free_port()
     server.listen(port, "127.0.0.1")
     client = StateClient(f"127.0.0.1:{port}", Clock(), rps=100, write_rps=25, txn_ops=16, value_bytes=8192, nodes=1)
     put = _put_of(1, value_bytes)
     try:
         for _ in range(2):
-            with pytest.raises(Rejected):
+            with pytest.raises(expected):
                 await client.commit(Transaction([KeyVersion(put.key, 1)], [put]), Urgency.USER)
     finally:
         server.stop()
@@ -126,7 +126,14 @@
 ) -> None:
     """A sweep that was refused for good was logged at debug level only, with neither its size nor its records."""
     with caplog.at_level(logging.ERROR):
-        assert asyncio.run(_commit_rejected(value_bytes)) == 2
+        answer = Answer(400, b'{"error":"transaction larger than 64 KiB"}')
+        assert asyncio.run(_commit_twice(answer, Rejected, value_bytes)) == 2
     assert "2 since the start" in caplog.text
     assert reason in caplog.text
     assert "gs/j/wk-000001" in caplog.text
+
+
+@pytest.mark.parametrize(("status", "expected"), [(503, Unavailable), (429, Unavailable), (500, OutcomeUnknown)])
+def test_error_that_passes_is_not_counted_as_rejected(status: int, expected: type[Exception]) -> None:
+    """A 500 counted as "not executed", although it may come after the transaction was executed."""
+    assert asyncio.run(_commit_twice(Answer(status, b"{}"), expected)) == 0
