--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -303,7 +303,7 @@
             self._session,
             self._cloud,
             self._clock,
-            self._facts,
+            self._facts.cloud.list_lag,
             self._operator,
             self._term_manager.has_authority,
             self._notify_finished,
--- a/gingerspar/coordination/leader/dispatcher.py
+++ b/gingerspar/coordination/leader/dispatcher.py
@@ -114,6 +114,11 @@
     def machines(self) -> dict[str, Machine]:
         return self.pool.machines
 
+    @property
+    def ready_count(self) -> int:
+        """The number of machines that are ready for tasks."""
+        return len(self.pool.states[MachineState.READY])
+
     # -- input: machine types and records -------------------------------------
 
     def set_types(self, types: Iterable[MachineType]) -> None:
--- a/gingerspar/coordination/leader/leader_runtime.py
+++ b/gingerspar/coordination/leader/leader_runtime.py
@@ -9,32 +9,28 @@
 from heapq import heappop, heappush, nlargest
 from itertools import count
 from operator import attrgetter
-from typing import Any, ParamSpec
+from typing import Any
 
 from gingerspar.coordination.cluster.machine import Machine, MachineState, Placement
-from gingerspar.coordination.cluster.pool import Offer
 from gingerspar.coordination.jobs.job_api import error_answer
 from gingerspar.coordination.leader.dispatcher import Dispatcher, NewerToken, StaleReport
-from gingerspar.coordination.leader.load_monitor import DECIDING_SHARE, PLANNING_SHARE, LoadMonitor
-from gingerspar.coordination.machines import fleet
-from gingerspar.coordination.machines.cloud import CloudClient, CloudError, NoCapacity, NotPermitted
+from gingerspar.coordination.leader.fleet_runtime import FleetRuntime
+from gingerspar.coordination.leader.load_monitor import DECIDING_SHARE, LoadMonitor
+from gingerspar.coordination.machines.cloud import CloudClient
 from gingerspar.coordination.machines.roster import Roster
 from gingerspar.coordination.membership.session import Session
 from gingerspar.protocol import messages, names
 from gingerspar.protocol.messages import (
     DirectCommands,
     JobStatus,
-    ListedMachine,
-    MachineStatus,
     MachineType,
     Malformed,
     Priority,
-    RentRequest,
     Report,
     ReportAnswer,
     Shape,
 )
-from gingerspar.protocol.settings import Facts, OperatorSettings, WorkerFacts
+from gingerspar.protocol.settings import OperatorSettings, WorkerFacts
 from gingerspar.storage.client import StateClient
 from gingerspar.storage.view import WatchedView
 from gingerspar.transport.client import Client, NoAnswer
@@ -45,16 +41,9 @@
 
 log = logging.getLogger(__name__)
 
-P = ParamSpec("P")
-
 FINISH_RETRY_INTERVAL = timedelta(seconds=3)
 FINISH_BATCH_INTERVAL = timedelta(milliseconds=100)  # finished tasks are reported to claimants in batches
 RECLAIM_RETRY_INTERVAL = timedelta(seconds=1)
-MIN_FLEET_INTERVAL = timedelta(seconds=1)
-# With a large fleet the interval is this for each ready machine, if that is longer: a plan scans all waiting work.
-FLEET_INTERVAL_PER_MACHINE = timedelta(milliseconds=1.5)
-MAX_RETURNED_PER_ROUND = 100  # the cloud takes no more names in one request
-FLEET_STATE_FRESH_FOR = timedelta(seconds=1)
 TICK_INTERVAL = timedelta(milliseconds=250)
 LOOP_RESTART_DELAY = timedelta(seconds=1)  # after an error that a background loop did not handle
 MIN_PASS_PAUSE = timedelta(milliseconds=40)  # between placement passes, so that events close together share one pass
@@ -75,7 +64,6 @@
 MAX_SAMPLED_MACHINES = 6  # machines whose addresses are sent to peers
 # The latest ended jobs that count towards the service levels of their classes when a term starts.
 MAX_COUNTED_ENDED_JOBS = 2000
-RETURNED_IGNORED_FOR = timedelta(minutes=2)  # far longer than the cloud's machine list lags
 # Workers stop waiting for an answer after 4 s, and late timers need some of that.
 MAX_HOLD = timedelta(seconds=2.7)
 HOLD_OVERLOADED = timedelta(seconds=2.2)  # leaves more time for late timers while this node is overloaded
@@ -149,7 +137,7 @@
         session: Session,
         cloud: CloudClient,
         clock: Clock,
-        facts: Facts,
+        list_lag: timedelta,
         settings: OperatorSettings,
         authority: Callable[[], bool],
         notify_finished: Callable[[str, dict[str, list[int]]], None],
@@ -161,13 +149,8 @@
     ) -> None:
         self.dispatcher = dispatcher
         self._node = node
-        self._client = client
         self._view = view
-        self._session = session
-        self._cloud = cloud
         self._clock = clock
-        self._facts = facts
-        self._settings = settings
         self._authority = authority
         self._notify_finished = notify_finished
         self._request_reclaim = request_reclaim
@@ -180,13 +163,8 @@
         self._hold_numbers = count()
         self._woken: dict[str, None] = {}  # machines with pending commands, in order
         self._work = asyncio.Event()
-        self._refusals = fleet.Refusals()
-        self._idle_history = fleet.IdleHistory()
-        self._rental_count = 0
         self._random = rng
         self._claimants_notified_at = clock.now()
-        self._renting: set[Offer] = set()
-        self._returned: dict[str, timedelta] = {}  # by machine: time of its return; machine lists may still show it
         self._tasks: list[asyncio.Task[None]] = []
         self._calls: set[asyncio.Task[None]] = set()
         self._direct_stop_slots = asyncio.Semaphore(MAX_CONCURRENT_DIRECT_STOPS)
@@ -194,6 +172,19 @@
         self._unapplied_records: set[str] = set()  # jobs whose records could not be applied
         self._last_tick = self._last_summary = clock.now()
         self._roster = Roster(dispatcher.term, client, view, session, clock, self._work.set)
+        self.fleet = FleetRuntime(
+            dispatcher,
+            cloud,
+            view,
+            clock,
+            load_monitor,
+            self._failures,
+            authority=authority,
+            on_returned=self._machines_returned,
+            on_listed=self._work.set,
+            max_idle=settings.idle_return,
+            list_lag=list_lag,
+        )
         dispatcher.set_command_callback(self._wake_machine)
         dispatcher.on_unrecorded = self._work.set
         dispatcher.final_spec = view.final_spec
@@ -221,8 +212,8 @@
             asyncio.ensure_future(self._supervise(name, loop))
             for name, loop in (
                 ("decision loop", self._decide),
-                ("fleet loop", self._run_fleet),
-                ("machine list loop", self._poll_machine_list),
+                ("fleet loop", self.fleet.run),
+                ("machine list loop", self.fleet.poll_machine_list),
                 ("roster loop", self._roster.run),
                 ("notification of machines", self._notify_unreported),
             )
@@ -244,6 +235,7 @@
         self._view.on_job.remove(self._record_changed)
         for task in [*self._tasks, *self._calls]:
             task.cancel()
+        self.fleet.stop()
         for hold in list(self._holds.values()):
             self._release(hold)
 
@@ -270,10 +262,6 @@
         else:
             self.dispatcher.set_record(job, entry.record, entry.finished, now)
 
-    @property
-    def _ready_count(self) -> int:
-        return len(self.dispatcher.pool.states[MachineState.READY])
-
     def sample_addresses(self) -> list[str]:
         """Returns addresses of a few random ready machines, for nodes that probe whether they reach workers."""
         ready = list(self.dispatcher.pool.states[MachineState.READY].values())
@@ -287,6 +275,10 @@
         self.dispatcher.set_types(types)
         self._work.set()
 
+    def _machines_returned(self, machine_names: list[str]) -> None:
+        self._work.set()
+        self._roster.remove(machine_names)
+
     def _wake_machine(self, machine: Machine) -> None:
         self._woken[machine.name] = None
 
@@ -326,7 +318,9 @@
         A held answer has neither a task nor a timer of its own: with a thousand machines these
         were a good part of the cost of a report. The decision loop releases answers that are due.
         """
-        duration = min(_hold_duration(machine, self._ready_count, self._load_monitor.overloaded), self._max_hold)
+        duration = min(
+            _hold_duration(machine, self.dispatcher.ready_count, self._load_monitor.overloaded), self._max_hold
+        )
         due = self._clock.now() + duration
         hold = HeldAnswer(machine, report, due, asyncio.get_running_loop().create_future())
         self._holds[machine.name] = hold
@@ -369,26 +363,19 @@
             await wait_for_event(self._work, HOLD_CHECK_INTERVAL if self._holds else TICK_INTERVAL)
             self._work.clear()
             now = self._clock.now()
-            self._run_step("tick", self._tick, now)
-            self._run_step("placement", self._place_tasks, now)
-            self._run_step("sending of direct stops", self._send_direct_stops)
-            self._run_step("notification of claimants", self._notify_claimants, now)
-            self._run_step("summary", self._log_summary, now)
-            self._run_step("release of held answers", self._release_holds)
+            self._failures.run("tick", self._tick, now)
+            self._failures.run("placement", self._place_tasks, now)
+            self._failures.run("sending of direct stops", self._send_direct_stops)
+            self._failures.run("notification of claimants", self._notify_claimants, now)
+            self._failures.run("summary", self._log_summary, now)
+            self._failures.run("release of held answers", self._release_holds)
             if self.dispatcher.needs_placement:
                 self._work.set()  # the pass stopped early to let other tasks of the event loop run
             # A long pass is followed by a longer pause: reports and state reads have priority.
-            min_pause = max(MIN_PASS_PAUSE, self._ready_count * PASS_PAUSE_PER_MACHINE)
+            min_pause = max(MIN_PASS_PAUSE, self.dispatcher.ready_count * PASS_PAUSE_PER_MACHINE)
             pause = self._load_monitor.pause_for_share(self._clock.now() - now, DECIDING_SHARE, min_pause)
             await asyncio.sleep(pause.total_seconds())
 
-    def _run_step(self, name: str, step: Callable[P, None], *args: P.args, **kwargs: P.kwargs) -> None:
-        """Runs one step of a pass; an error in it does not keep the other steps from being run."""
-        try:
-            step(*args, **kwargs)
-        except Exception:
-            self._failures.add(name)
-
     def _tick(self, now: timedelta) -> None:
         if now - self._last_tick < TICK_INTERVAL:
             return
@@ -441,7 +428,7 @@
         It learns of its successor only from them (docs/design.md, "Left with its workers alone").
         """
         await asyncio.sleep(NOTIFY_DELAY.total_seconds())
-        if self._ready_count:
+        if self.dispatcher.ready_count:
             await asyncio.sleep(NOTIFY_INTERVAL.total_seconds())
         for _ in range(NOTIFY_ROUNDS):
             waiting = [machine for machine in self.dispatcher.unreported_machines() if machine.address]
@@ -488,142 +475,7 @@
                 run.reclaim_requested_at = now
                 self._request_reclaim(claimant.node, job, run.record.attempt)
 
-    # -- fleet ----------------------------------------------------------------
-
     def _spawn(self, call: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(call)
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
-
-    def _may_change_fleet(self) -> bool:
-        """Whether machines may be rented or returned now.
-
-        A request can be delayed by a network partition and carried out minutes later, when
-        another node leads. A leader partitioned from everything saw all machines fall silent
-        and asked the cloud again and again to take them back. When the partition ended, all of
-        them were returned, with the work that its successor had kept running. So no request is
-        sent unless the last read of the state service is recent (FLEET_STATE_FRESH_FOR). That
-        limit expires long before a machine has been silent for its lease.
-        """
-        return self._authority() and self._view.age() <= FLEET_STATE_FRESH_FOR
-
-    async def _run_fleet(self) -> None:
-        pause = MIN_FLEET_INTERVAL
-        while True:
-            await asyncio.sleep(pause.total_seconds())
-            now = self._clock.now()
-            if not self._may_change_fleet() or not self.dispatcher.cluster_state.types:
-                continue
-            self._run_step("renting", self._rent_planned, now)
-            self._run_step("returning", self._return_planned, now)
-            min_pause = max(MIN_FLEET_INTERVAL, self._ready_count * FLEET_INTERVAL_PER_MACHINE)
-            pause = self._load_monitor.pause_for_share(self._clock.now() - now, PLANNING_SHARE, min_pause)
-
-    def _rent_planned(self, now: timedelta) -> None:
-        plan = fleet.plan_rentals(self.dispatcher.cluster_state, self._refusals, now)
-        for offer, machine_count in plan.items():
-            if offer not in self._renting:
-                self._renting.add(offer)
-                self._spawn(self._rent(offer, min(machine_count, fleet.MAX_RENTED_PER_ROUND)))
-
-    def _return_planned(self, now: timedelta) -> None:
-        returning = fleet.plan_returns(
-            self.dispatcher.cluster_state, self._idle_history, now, self._settings.idle_return
-        )[:MAX_RETURNED_PER_ROUND]
-        if returning:
-            for machine in returning:
-                machine.move(MachineState.RETURNING)
-            self._spawn(self._return_machines(returning))
-
-    async def _rent(self, offer: Offer, count: int) -> None:
-        self._rental_count += 1
-        type_name, zone, spot = offer
-        # Term and counter make the request name unique across all nodes and terms.
-        request = RentRequest(f"t{self.dispatcher.term}-{self._rental_count}", type_name, zone, spot, count)
-        try:
-            for _ in range(3):
-                if not self._may_change_fleet():
-                    return
-                try:
-                    hosts = await self._cloud.rent(request, self._may_change_fleet)
-                    break
-                except CloudError as error:
-                    log.info("rental %s failed: %s", request.request, error)
-                    await asyncio.sleep(1)
-            else:
-                return  # machines rented despite the errors will show in the machine list
-            now = self._clock.now()
-            log.info("rented %d of %d %s in %s, spot=%s: %s", len(hosts), count, type_name, zone, spot, " ".join(hosts))
-            for name in hosts:
-                if name not in self.dispatcher.machines:
-                    self.dispatcher.cluster_state.add_machine(name, type_name, zone, spot, now, MachineState.BOOTING)
-            if len(hosts) < count:
-                self._refusals.refused(offer, now)
-            else:
-                self._refusals.granted(offer)
-        except NotPermitted:
-            log.info("rental %s not sent: no authority or no recent read of the state service", request.request)
-        except NoCapacity:
-            log.info("no capacity: %s in %s, spot=%s", type_name, zone, spot)
-            self._refusals.refused(offer, self._clock.now())
-        finally:
-            self._renting.discard(offer)
-
-    async def _return_machines(self, machines: list[Machine]) -> None:
-        hosts = [machine.name for machine in machines]
-        log.info("returning to the cloud: %s", " ".join(hosts))
-        while True:
-            if not self._may_change_fleet():
-                await asyncio.sleep(0.5)
-                continue
-            try:
-                await self._cloud.return_machines(hosts, self._may_change_fleet)
-                break
-            except NotPermitted:
-                continue
-            except (CloudError, NoCapacity) as error:
-                log.info("returning machines failed: %s", error)
-                await asyncio.sleep(1)
-        now = self._clock.now()
-        for machine in machines:
-            self._returned[machine.name] = now
-            self.dispatcher.machine_returned(machine, now)
-        self._work.set()
-        self._roster.remove(hosts)
-
-    async def _poll_machine_list(self) -> None:
-        """Polls the cloud's machine list for unknown machines and for failed ones."""
-        pause = max(self._facts.cloud.list_lag.total_seconds(), 2.0)
-        while True:
-            try:
-                listed = await self._cloud.machines()
-            except (CloudError, NoCapacity) as error:
-                log.debug("reading the cloud's machine list failed: %s", error)
-                await asyncio.sleep(1)
-                continue
-            now = self._clock.now()
-            self._returned = {
-                name: since for name, since in self._returned.items() if now - since < RETURNED_IGNORED_FOR
-            }
-            for entry in listed:
-                self._run_step("applying the machine list", self._apply_listed_machine, entry, now)
-            self._work.set()
-            await asyncio.sleep(pause)
-
-    def _apply_listed_machine(self, entry: ListedMachine, now: timedelta) -> None:
-        machine = self.dispatcher.machines.get(entry.machine)
-        if machine is None:
-            if entry.machine not in self._returned:
-                machine = self.dispatcher.cluster_state.add_machine(
-                    entry.machine, entry.type, entry.zone, entry.spot, now, MachineState.BOOTING
-                )
-            elif entry.status is not MachineStatus.FAILED:
-                return
-        if machine is not None and not machine.address:
-            machine.address = entry.address
-        # Machine lists lag and can be older than an earlier one. A machine that has reported in this term is
-        # judged by its lease, which expires long before the cloud lists the machine as failed (30 s).
-        not_reported = (MachineState.BOOTING, MachineState.UNSETTLED)
-        failed = entry.status is MachineStatus.FAILED
-        if machine is not None and failed and machine.state in not_reported and machine.last_answered_at is None:
-            self.dispatcher.machine_lost(machine, "the cloud lists it as failed", now)
--- a/gingerspar/transport/error_counts.py
+++ b/gingerspar/transport/error_counts.py
@@ -2,6 +2,10 @@
 
 import logging
 from collections import Counter
+from collections.abc import Callable
+from typing import ParamSpec
+
+P = ParamSpec("P")
 
 
 class ErrorCounts:
@@ -17,3 +21,10 @@
         count = self._counts[what]
         if count & (count - 1) == 0:  # a power of two
             self._log.error("%s failed, %d times so far", what, count, exc_info=traceback)
+
+    def run(self, what: str, step: Callable[P, None], *args: P.args, **kwargs: P.kwargs) -> None:
+        """Runs a step; an error in it is counted, so that it does not keep other steps from being run."""
+        try:
+            step(*args, **kwargs)
+        except Exception:
+            self.add(what)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -85,7 +85,7 @@
     view: Any = SimpleNamespace(on_job=[], final={}, roster={}, age=lambda: timedelta(0), final_spec=lambda job: None)
     rest: Any = SimpleNamespace()
     return LeaderRuntime(
-        "n1", dispatcher, rest, view, rest, rest, Clock(), rest, OperatorSettings(),
+        "n1", dispatcher, rest, view, rest, rest, Clock(), timedelta(seconds=3), OperatorSettings(),
         lambda: True, lambda node, jobs: None, lambda node, job, attempt: None,
         lambda: Answer(421, b"{}"), lambda: None, LoadMonitor(Clock()), Random(1),
     )  # fmt: skip
--- a/tests/test_leader_runtime.py
+++ b/tests/test_leader_runtime.py
@@ -58,9 +58,8 @@
 def _runtime(cloud: Any, dispatcher: Dispatcher, age: list[timedelta]) -> LeaderRuntime:
     view: Any = SimpleNamespace(on_job=[], final={}, roster={}, age=lambda: age[0], final_spec=lambda job: None)
     unused: Any = SimpleNamespace()
-    facts: Any = SimpleNamespace(cloud=SimpleNamespace(list_lag=timedelta(seconds=3)))
     return LeaderRuntime(
-        "n1", dispatcher, unused, view, unused, cloud, Clock(), facts, OperatorSettings(),
+        "n1", dispatcher, unused, view, unused, cloud, Clock(), timedelta(seconds=3), OperatorSettings(),
         lambda: True, lambda node, jobs: None, lambda node, job, attempt: None,
         lambda: Answer(421, b"{}"), lambda: None, LoadMonitor(Clock()), Random(1),
     )  # fmt: skip
@@ -76,8 +75,8 @@
     machine = dispatcher.cluster_state.add_machine("n-1", "big", "a", False, timedelta(0), MachineState.LOST)
     machine.move(MachineState.RETURNING)
     runtime = _runtime(cloud, dispatcher, age)
-    returning = asyncio.ensure_future(runtime._return_machines([machine]))
-    await runtime._rent(("big", "a", False), 1)
+    returning = asyncio.ensure_future(runtime.fleet._return_machines([machine]))
+    await runtime.fleet._rent(("big", "a", False), 1)
     await asyncio.sleep(0.05)
     assert returning.done() == bool(cloud.returned)
     returning.cancel()
@@ -108,7 +107,7 @@
         return [ListedMachine(name, "big", "a", MachineStatus.FAILED) for name in ("n-1", "n-2", "n-3")]
 
     runtime = _runtime(SimpleNamespace(machines=machines), dispatcher, [timedelta(0)])
-    listing = asyncio.ensure_future(runtime._poll_machine_list())
+    listing = asyncio.ensure_future(runtime.fleet.poll_machine_list())
     await asyncio.sleep(0.05)
     listing.cancel()
     return dispatcher
