Random scenarios with jobs whose amounts come from the whole range of the protocol

Change: a share of the jobs gets amounts that the protocol allows although no task is like that; all must end like the others, while failures go on.

--- a/tests/standins/users.py
+++ b/tests/standins/users.py
@@ -13,14 +13,27 @@
 SUBMIT_RETRY_S = 60.0  # a submission without a final response is repeated for this time
 MAX_SILENCE_S = 75.0  # after the last failure has ended, no job may be without a status response for longer
 FINAL_STATUSES = ("done", "aborted")
+# Amounts that the protocol allows although no task is like that, by field of a job.
+ODD_AMOUNTS: dict[str, tuple[float | None, ...]] = {
+    "GuessS": (0.0, 5e-324, 2e-7, 1e-3, 1e6, 1e12),
+    "DueS": (None, 0.0, 1e-300, 30.0, 1e12),
+    "Cpus": (5e-324, 1e-6, 0.01, 4.0),
+    "MemoryGb": (0.0, 5e-324, 4.0),
+    "ImageGb": (0.0, 1e-9, 2.0),
+    "SaveEveryS": (0.0, 5e-324, 5.0, 1e12),
+    "SaveTookS": (0.0, 5e-324, 1e12),
+}
+ODD_JOB_RUN_S = 5.0  # run time of their tasks, whatever the estimate
 
 
 class Users:
     """Sends each request to a random controller, as a load balancer does, and records violations of the API's rules."""
 
-    def __init__(self, cluster: Cluster, random: Random) -> None:
+    def __init__(self, cluster: Cluster, random: Random, odd_share: float = 0.0) -> None:
+        """``odd_share``: share of the jobs with ``ODD_AMOUNTS``."""
         self.cluster = cluster
         self.random = random
+        self.odd_share = odd_share
         self.failures_ended_at: float | None = None  # when the last failure ended
         self.accepted: set[str] = set()
         self.cancel_requested: set[str] = set()
@@ -45,6 +58,8 @@
         for number in range(1, jobs + 1):
             spec = self.specs[f"wk-{number:06d}"] = self.random_job(number)
             self.cluster.cloud.jobs[spec["Ref"]] = spec
+            if self.odd_share and self.random.random() < self.odd_share:
+                self.make_odd(spec)
             start_after_s = self.random.uniform(0, within_s)
             cancel_after_s = self.random.uniform(1, 40) if self.random.random() < cancel_share else None
             self.lifecycles.append(asyncio.ensure_future(self.run_lifecycle(spec, start_after_s, cancel_after_s)))
@@ -64,6 +79,12 @@
             ImageGb=0.0,
         )
 
+    def make_odd(self, spec: dict[str, Any]) -> None:
+        """Gives a job odd amounts; the cloud runs its tasks as if they took a little of a machine."""
+        spec.update({name: self.random.choice(amounts) for name, amounts in ODD_AMOUNTS.items()})
+        spec["Apart"] = spec["Shape"] == "batch" and self.random.random() < 0.5
+        self.cluster.cloud.jobs[spec["Ref"]] = {**spec, "GuessS": ODD_JOB_RUN_S, "Cpus": max(spec["Cpus"], 1e-6)}
+
     async def request(self, method: str, path: str, body: Any = None, node: str | None = None) -> tuple[int, Any]:
         """Sends a request to ``node``, or to a random running controller; ``(0, None)`` without a response."""
         name = node or self.random.choice(
