--- a/gingerspar/coordination/cluster/job_failures.py
+++ b/gingerspar/coordination/cluster/job_failures.py
@@ -12,7 +12,7 @@
 
 
 class JobFailures:
-    """Jobs whose evaluation raised an error; each is skipped for a while, longer with each failure in a row."""
+    """Jobs whose evaluation raised an error; each is skipped for a while, longer with each failure that follows soon."""
 
     def __init__(self) -> None:
         self._pauses = RetryPauses(FIRST_PAUSE, MAX_PAUSE)
@@ -24,6 +24,6 @@
         """Counts and logs the error that is being handled. ``step`` tells what was done for the job."""
         pause = self._pauses.add_failure(job, now)
         log.exception(
-            "%s of %s failed, %d times in a row, %d failures of all jobs; skipped for %d s",
+            "%s of %s failed, %d times lately, %d failures of all jobs; skipped for %d s",
             step, job, self._pauses.failures_of(job), self._pauses.failure_count, pause.total_seconds(),
         )  # fmt: skip
--- a/gingerspar/transport/retry_pauses.py
+++ b/gingerspar/transport/retry_pauses.py
@@ -14,9 +14,10 @@
 
 
 class RetryPauses:
-    """Pauses by item; an item's pause doubles with each failure in a row, from ``first`` up to ``longest``.
+    """Pauses by item; an item's pause doubles with each failure, from ``first`` up to ``longest``.
 
-    An item counts as new once it has not failed for ``longest`` after the end of its pause.
+    The failures of an item are forgotten when it succeeds (``clear``), or has not failed for ``longest`` after the end
+    of its pause.
     """
 
     def __init__(self, first: timedelta, longest: timedelta) -> None:
@@ -39,7 +40,7 @@
         return pause.duration
 
     def failures_of(self, item: str) -> int:
-        """The number of the item's failures in a row."""
+        """The number of the item's failures that are not forgotten."""
         pause = self._pauses.get(item)
         return pause.failures if pause is not None else 0
 
