--- a/gingerspar/coordination/cluster/job_failures.py
+++ b/gingerspar/coordination/cluster/job_failures.py
@@ -12,7 +12,7 @@
 
 
 class JobFailures:
-    """Jobs whose evaluation raised an error; each is skipped for a while, longer with each failure that follows soon."""
+    """Jobs whose evaluation raised an error; each is skipped for a while, longer with each failure."""
 
     def __init__(self) -> None:
         self._pauses = RetryPauses(FIRST_PAUSE, MAX_PAUSE)
