An error in a background loop or in one job's claim or result ends neither the controller nor the others

Change: the claim and the results of each job are worked out on their own, with the same pauses as its placement. Following the state service, the session and the term still end the process.

In all tests with controllers, an error that a controller logs with a traceback is a violation now, unless the test causes it.

--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -32,6 +32,7 @@
 from gingerspar.storage.records import JobRecord
 from gingerspar.storage.view import WatchedView
 from gingerspar.transport.clock import Clock
+from gingerspar.transport.error_counts import ErrorCounts
 from gingerspar.transport.peerlink import PeerLink
 from gingerspar.transport.server import Answer, Request, Server, resolve_answer
 from gingerspar.transport.waits import wait_for_event
@@ -133,25 +134,25 @@
     # -- lifecycle ------------------------------------------------------------
 
     async def run(self) -> None:
-        """Runs the node until a loop fails or it is cancelled, then closes it."""
+        """Runs the node until it is cancelled, or a loop fails without which it can't serve; then closes it."""
         host, port = self._settings.listen.rsplit(":", 1)
         peer_host, peer_port = self._settings.peer_listen.rsplit(":", 1)
         self._server.listen(int(port), host)
-        loops = [
-            self._view.follow(),
-            self._session.run(),
-            self._claims.run_claims(),
-            self._claims.run_results(),
-            self._job_api.run_submissions(),
-            self._job_api.run_status_requests(),
-            self._reconciler.run(),
-            self._term_manager.run(),
-            self._prober.run(),
-            self._run_heartbeats(),
-            self._refresh_catalog(),
-        ]
+        essential_loops = [self._view.follow(), self._session.run(), self._term_manager.run()]
+        supervised_loops = {
+            "loop of claims": self._claims.run_claims,
+            "loop of results": self._claims.run_results,
+            "loop of submissions": self._job_api.run_submissions,
+            "loop of status requests": self._job_api.run_status_requests,
+            "loop of sweeps": self._reconciler.run,
+            "loop of probes": self._prober.run,
+            "loop of heartbeats": self._run_heartbeats,
+            "loop of the catalog": self._refresh_catalog,
+        }
+        failures = ErrorCounts(log)
         tasks = self._link.start(int(peer_port), peer_host)
-        tasks += [asyncio.ensure_future(self._run_loop(loop)) for loop in loops]
+        tasks += [asyncio.ensure_future(self._run_loop(loop)) for loop in essential_loops]
+        tasks += [asyncio.ensure_future(failures.supervise(name, loop)) for name, loop in supervised_loops.items()]
         log.info("controller %s listens on %s", self._node, self._settings.listen)
         try:
             await asyncio.gather(*tasks)
--- a/gingerspar/coordination/jobs/claims.py
+++ b/gingerspar/coordination/jobs/claims.py
@@ -13,6 +13,7 @@
 
 from sortedcontainers import SortedDict
 
+from gingerspar.coordination.cluster.job_failures import JobFailures
 from gingerspar.coordination.cluster.job_order import JobOrder
 from gingerspar.coordination.jobs.claimed_resources import ClaimedResources
 from gingerspar.coordination.jobs.record_changes import RecordChange, claimed, released, with_results
@@ -75,6 +76,7 @@
         self._settings = settings
         self._job_order = job_order
         self._writer = writer
+        self._failures = JobFailures()
         # Jobs that can be claimed, in the order in which they are claimed, and the sort key of each.
         self._pending_jobs: SortedDict[tuple[int, float, float, str], str] = SortedDict()
         self._order_keys: dict[str, tuple[int, float, float, str]] = {}
@@ -166,24 +168,44 @@
         claimed_resources = self._claimed_resources.copy_totals()
         nodes = sorted(self._view.nodes)
         for job in self._pending_jobs.values():
-            entry = self._view.jobs[job]
-            if self._writer.is_paused(job):
+            if self._writer.is_paused(job) or self._failures.is_paused(job, now):
                 continue
-            # An overdue job is claimed past the limit so that it can start; the leader enforces the limit task by task.
-            # Large jobs come last in this order, and waited for minutes while other claims used up their team's limit
-            # (kerlann-fonts-ops inc-e135).
-            overdue = self._is_overdue(entry)
-            if not overdue and claimed_resources.over_limit(self._teams, entry):
-                # Without this, all nodes would claim the job at the same time once the team is below its limit.
-                self._claimable_since[job] = now
+            try:
+                change = self._claim_of(job, claimant, term, claimed_resources, nodes, now)
+            except Exception:
+                self._failures.add(job, "claiming", now)
                 continue
-            waited = now - self._claimable_since[job] - FALLBACK_CLAIM_DELAY
-            if job in self._accepted or (
-                waited >= ZERO_DURATION and waited >= FALLBACK_CLAIM_INTERVAL * self._fallback_position(job, nodes)
-            ):
-                if not overdue:
-                    claimed_resources.add(entry)
-                yield RecordChange(job, entry.version, claimed(entry, claimant, term))
+            if change is not None:
+                yield change
+
+    def _claim_of(
+        self,
+        job: str,
+        claimant: records.Claimant,
+        term: int,
+        claimed_resources: ClaimedResources,
+        nodes: list[str],
+        now: timedelta,
+    ) -> RecordChange | None:
+        """The claim of a pending job, added to ``claimed_resources``; None if this node is not to claim it now."""
+        entry = self._view.jobs[job]
+        # An overdue job is claimed past the limit so that it can start; the leader enforces the limit task by task.
+        # Large jobs come last in this order, and waited for minutes while other claims used up their team's limit
+        # (kerlann-fonts-ops inc-e135).
+        overdue = self._is_overdue(entry)
+        if not overdue and claimed_resources.over_limit(self._teams, entry):
+            # Without this, all nodes would claim the job at the same time once the team is below its limit.
+            self._claimable_since[job] = now
+            return None
+        waited = now - self._claimable_since[job] - FALLBACK_CLAIM_DELAY
+        if job not in self._accepted and (
+            waited < ZERO_DURATION or waited < FALLBACK_CLAIM_INTERVAL * self._fallback_position(job, nodes)
+        ):
+            return None
+        change = RecordChange(job, entry.version, claimed(entry, claimant, term))
+        if not overdue:
+            claimed_resources.add(entry)
+        return change
 
     def _is_overdue(self, entry: Versioned) -> bool:
         """True if the job has waited so long that it is claimed past its team's limit."""
@@ -250,18 +272,22 @@
             if completes or now - pending.since >= self._settings.result_delay:
                 ready.append((not completes, pending.since, job))
         ready.sort()
-        return self._writer.select(self._results_of([job for _, _, job in ready]))
+        return self._writer.select(self._results_of([job for _, _, job in ready], now))
 
-    def _results_of(self, jobs: list[str]) -> Iterator[RecordChange]:
+    def _results_of(self, jobs: list[str], now: timedelta) -> Iterator[RecordChange]:
         for job in jobs:
-            if self._writer.is_paused(job):
+            if self._writer.is_paused(job) or self._failures.is_paused(job, now):
+                continue
+            try:
+                change = with_results(
+                    self._view.jobs[job],
+                    self._pending_results[job].tasks,
+                    self._client.value_bytes,
+                    self._writer.new_transaction(),
+                )
+            except Exception:
+                self._failures.add(job, "recording of results", now)
                 continue
-            change = with_results(
-                self._view.jobs[job],
-                self._pending_results[job].tasks,
-                self._client.value_bytes,
-                self._writer.new_transaction(),
-            )
             if change is None:
                 del self._pending_results[job]
             else:
--- a/gingerspar/coordination/leader/leader_runtime.py
+++ b/gingerspar/coordination/leader/leader_runtime.py
@@ -45,7 +45,6 @@
 FINISH_BATCH_INTERVAL = timedelta(milliseconds=100)  # finished tasks are reported to claimants in batches
 RECLAIM_RETRY_INTERVAL = timedelta(seconds=1)
 TICK_INTERVAL = timedelta(milliseconds=250)
-LOOP_RESTART_DELAY = timedelta(seconds=1)  # after an error that a background loop did not handle
 MIN_PASS_PAUSE = timedelta(milliseconds=40)  # between placement passes, so that events close together share one pass
 # With a large fleet the pause is this for each ready machine, if that is longer: more events arrive.
 PASS_PAUSE_PER_MACHINE = timedelta(milliseconds=0.2)
@@ -209,7 +208,7 @@
             len(self.dispatcher.machines),
         )
         self._tasks = [
-            asyncio.ensure_future(self._supervise(name, loop))
+            asyncio.ensure_future(self._failures.supervise(name, loop))
             for name, loop in (
                 ("decision loop", self._decide),
                 ("fleet loop", self.fleet.run),
@@ -219,16 +218,6 @@
             )
         ]
 
-    async def _supervise(self, name: str, loop: Callable[[], Coroutine[Any, Any, None]]) -> None:
-        """Runs a background loop, and starts it again after an error: without it the leader would only seem alive."""
-        while True:
-            try:
-                await loop()
-                return
-            except Exception:
-                self._failures.add(name)
-                await asyncio.sleep(LOOP_RESTART_DELAY.total_seconds())
-
     def stop(self) -> None:
         """Cancels the background tasks and answers all held reports."""
         log.info("term %d ended on this node", self.dispatcher.term)
--- a/gingerspar/transport/error_counts.py
+++ b/gingerspar/transport/error_counts.py
@@ -1,12 +1,16 @@
 """Counts errors that may occur again and again, and logs them without flooding the log."""
 
+import asyncio
 import logging
 from collections import Counter
-from collections.abc import Callable
-from typing import ParamSpec
+from collections.abc import Callable, Coroutine
+from datetime import timedelta
+from typing import Any, ParamSpec
 
 P = ParamSpec("P")
 
+LOOP_RESTART_DELAY = timedelta(seconds=1)  # after an error that a background loop did not handle
+
 
 class ErrorCounts:
     """Counts errors by what failed; logs the first of each, and then each time that its number has doubled."""
@@ -28,3 +32,13 @@
             step(*args, **kwargs)
         except Exception:
             self.add(what)
+
+    async def supervise(self, what: str, loop: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Runs a background loop, and starts it again after an error, which is counted; returns when the loop does."""
+        while True:
+            try:
+                await loop()
+                return
+            except Exception:
+                self.add(what)
+                await asyncio.sleep(LOOP_RESTART_DELAY.total_seconds())
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -1,6 +1,7 @@
 """Controllers in one process, with the stand-ins that they use."""
 
 import asyncio
+import logging
 from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
 from functools import partial
@@ -20,6 +21,18 @@
 NODE_NAMES = ("n0", "n1", "n2")
 
 
+class _ErrorLog(logging.Handler):
+    """Collects the errors that controllers log with a traceback: faults of the program that it has survived."""
+
+    def __init__(self) -> None:
+        super().__init__(logging.ERROR)
+        self.errors: list[str] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        if record.exc_info:
+            self.errors.append(f"{record.getMessage()}: {record.exc_info[1]!r}")
+
+
 class Cluster:
     """Three controllers, a state service and a cloud on loopback."""
 
@@ -39,6 +52,8 @@
         self.write_rps = 100.0
         self.value_kb = 16.0
         self.limits = dict(limits or {"red": 0.0})
+        self.expects_errors = False  # errors that controllers survive are no violations
+        self._error_log = _ErrorLog()
         self.isolated: set[str] = set()  # nodes that neither receive from nor send to other controllers
         ports = {name: (free_port(), free_port()) for name in NODE_NAMES}
         self.http = {name: f"127.0.0.1:{http}" for name, (http, _) in ports.items()}
@@ -54,8 +69,11 @@
 
     @property
     def violations(self) -> list[str]:
-        """Violations of the scheduling rules, and writes to the state service that must not happen or are too large."""
-        return self.cloud.violations + self.state.violations + self.state.rejected
+        """Violations of the scheduling rules, writes to the state service that must not happen or are too large, and
+        errors in controllers.
+        """
+        errors = [] if self.expects_errors else self._error_log.errors
+        return self.cloud.violations + self.state.violations + self.state.rejected + errors
 
     def settings(self, name: str) -> str:
         seeds = "".join(
@@ -96,6 +114,7 @@
 """
 
     def start(self) -> None:
+        logging.getLogger("gingerspar").addHandler(self._error_log)
         self.state.max_value_bytes = int(self.value_kb * 1024)
         for name, port in self.state_ports.items():
             self.state.listen(port, name)
@@ -134,6 +153,7 @@
         return [name for name, (node, _) in self.nodes.items() if node._term_manager.is_dispatching()]
 
     async def stop(self) -> None:
+        logging.getLogger("gingerspar").removeHandler(self._error_log)
         for name in list(self.nodes):
             await self.kill(name)
         self.cloud.stop()
--- a/tests/test_failing_evaluation.py
+++ b/tests/test_failing_evaluation.py
@@ -6,6 +6,9 @@
 
 import pytest
 
+from gingerspar.coordination.jobs import claims
+from gingerspar.coordination.jobs.claimed_resources import ClaimedResources
+from gingerspar.coordination.jobs.claims import ClaimManager
 from gingerspar.coordination.leader.dispatcher import Dispatcher
 from gingerspar.coordination.machines import fleet
 from gingerspar.coordination.placement import scoring
@@ -31,12 +34,13 @@
 }
 
 
-async def _run_beside_odd_job(**odd: Any) -> None:
+async def _run_beside_odd_job(*, expects_errors: bool = False, **odd: Any) -> None:
     """Runs an array and a later job beside a job that is accepted or rejected; only these two must be done.
 
     The odd job is urgent, so that it comes first in the order, and preempts tasks of the array.
     """
     cluster = Cluster(run_seconds=6.0, clock=SimulatedClock())
+    cluster.expects_errors = expects_errors
     cluster.start()
     try:
         assert await wait_until(lambda: cluster.submit_job("n0", 1, Pieces=6), 10)
@@ -71,7 +75,8 @@
     original = getattr(owner, name)
 
     def fails(*args: Any, **kwargs: Any) -> Any:
-        specs = [argument if isinstance(argument, JobSpec) else getattr(argument, "spec", None) for argument in args]
+        args_and_records = [*args, *(getattr(argument, "record", None) for argument in args)]
+        specs = [value if isinstance(value, JobSpec) else getattr(value, "spec", None) for value in args_and_records]
         if any(isinstance(spec, JobSpec) and spec.job == ODD_JOB for spec in specs) or ODD_JOB in args:
             raise ArithmeticError("a fault in the evaluation of one job")
         return original(*args, **kwargs)
@@ -84,6 +89,8 @@
     "scoring": (scoring, "choose_machines", "placement"),
     "rentals": (fleet._Plan, "add_run", "planning of rentals"),
     "record": (Dispatcher, "set_record", "applying the record"),
+    "claim": (ClaimedResources, "over_limit", "claiming"),
+    "results": (claims, "with_results", "recording of results"),
 }
 
 
@@ -95,11 +102,41 @@
     owner, name, logged = STEPS[step]
     _fail_for_odd_job(monkeypatch, owner, name)
     with caplog.at_level(logging.ERROR):
-        run_simulated(_run_beside_odd_job())
+        run_simulated(_run_beside_odd_job(expects_errors=True))
     messages_logged = [record.getMessage() for record in caplog.records]
     assert any(logged in text and ODD_JOB in text and "times" in text for text in messages_logged), messages_logged
 
 
+def test_controllers_go_on_after_an_error_in_a_background_loop(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Any error that a background loop did not handle ended the controller, and the next process, and all others."""
+    errors = iter(range(5))
+    original = ClaimManager._next_claims
+
+    def fail_at_first(manager: ClaimManager, now: timedelta) -> Any:
+        if next(errors, None) is not None:
+            raise ArithmeticError("a fault in a background loop")
+        return original(manager, now)
+
+    monkeypatch.setattr(ClaimManager, "_next_claims", fail_at_first)
+
+    async def run() -> None:
+        cluster = Cluster(run_seconds=3.0, clock=SimulatedClock())
+        cluster.expects_errors = True
+        cluster.start()
+        try:
+            assert await wait_until(lambda: cluster.submit_job("n0", 1), 10)
+            assert await wait_until(lambda: len(cluster.cloud.active_tasks()) == 3, 30), "the job does not start"
+            assert not any(task.done() for _, task in cluster.nodes.values())
+        finally:
+            await cluster.stop()
+
+    with caplog.at_level(logging.ERROR):
+        run_simulated(run())
+    assert "loop of claims failed, 1 times so far" in caplog.text
+
+
 def test_step_that_fails_keeps_no_other_step_from_running(
     monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
