Log answers of the state service and the cloud that no retry may cure

Cause: an unexpected status of a read or of a request for a lease, and every failure of reading the cloud's machine list, showed at debug level only, like those of an outage.

Change: each is counted and logged at error level, the 1st, 2nd, 4th, 8th … time. What the controllers do is as before.

test_read_that_is_refused_for_good_is_logged_and_counted fails on the sources before: nothing was logged.

--- a/gingerspar/coordination/leader/fleet_runtime.py
+++ b/gingerspar/coordination/leader/fleet_runtime.py
@@ -182,6 +182,7 @@
                 listed = await self._cloud.machines()
             except (CloudError, NoCapacity) as error:
                 log.debug("reading the cloud's machine list failed: %s", error)
+                self._failures.add("reading the cloud's machine list", traceback=False)
                 await asyncio.sleep(1)
                 continue
             now = self._clock.now()
--- a/gingerspar/storage/client.py
+++ b/gingerspar/storage/client.py
@@ -10,6 +10,7 @@
 from gingerspar.storage.transactions import TransactionBuilder, TransactionLimits
 from gingerspar.transport.client import Client, NoAnswer
 from gingerspar.transport.clock import Clock
+from gingerspar.transport.error_counts import ErrorCounts
 
 log = logging.getLogger(__name__)
 
@@ -91,6 +92,7 @@
         self._even_write_rate = write_rps * node_share
         self._limits = TransactionLimits(txn_ops, value_bytes)
         self.value_bytes = min(value_bytes, MAX_VALUE_BYTES)  # for values whose size the caller may choose
+        self._unexpected_answers = ErrorCounts(log)
         self.rejected_count = 0  # transactions that the service has rejected since this process started
 
     @property
@@ -156,7 +158,7 @@
         if status == 410:
             raise RevisionCompacted(str(since))
         if status != 200:
-            raise Unavailable(f"{status} {path}")
+            raise self._unexpected("reading changes", status)
         return messages.decode(messages.Changes, answer)
 
     async def page(self, prefix: str, since: str | None, limit: int) -> messages.Items:
@@ -170,7 +172,7 @@
             path += f"&Since={quote(since)}"
         status, answer = await self._call("GET", path, timeout=timedelta(seconds=4))
         if status != 200:
-            raise Unavailable(f"{status} {path}")
+            raise self._unexpected("reading keys", status)
         return messages.decode(messages.Items, answer)
 
     async def commit(
@@ -213,6 +215,11 @@
         )  # fmt: skip
         return Rejected(f"commit: {reason}")
 
+    def _unexpected(self, request: str, status: int) -> Unavailable:
+        """Counts and logs an answer that may never change, unlike a 429 or 503; returns the error to raise."""
+        self._unexpected_answers.add(f"{request}, answered with {status},", traceback=False)
+        return Unavailable(f"{request}: {status}")
+
     async def grant(self, ttl: timedelta) -> int:
         """Creates a lease and returns its number.
 
@@ -222,7 +229,7 @@
         request = messages.GrantRequest(ttl_ms=round(ttl.total_seconds() * 1000))
         status, answer = await self._call("POST", names.PATH_GRANTS, messages.encode(request))
         if status != 200:
-            raise Unavailable(f"grant: {status}")
+            raise self._unexpected("granting a lease", status)
         return messages.decode(messages.Granted, answer).lease
 
     async def extend(self, lease: int) -> None:
@@ -235,4 +242,4 @@
         if status == 404:
             raise LeaseExpired
         if status != 200:
-            raise Unavailable(f"extend: {status}")
+            raise self._unexpected("extending a lease", status)
--- a/tests/test_transaction_limits.py
+++ b/tests/test_transaction_limits.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Sequence
+from datetime import timedelta
 from typing import Any
 
 import msgspec
@@ -137,3 +138,27 @@
 def test_error_that_passes_is_not_counted_as_rejected(status: int, expected: type[Exception]) -> None:
     """A 500 counted as "not executed", although it may come after the transaction was executed."""
     assert asyncio.run(_commit_twice(Answer(status, b"{}"), expected)) == 0
+
+
+async def _read_changes_with_status(status: int) -> None:
+    async def handle(request: Request) -> Answer:
+        return Answer(status, b"{}")
+
+    server, port = Server(handle), free_port()
+    server.listen(port, "127.0.0.1")
+    client = StateClient(f"127.0.0.1:{port}", Clock(), rps=100, write_rps=25, txn_ops=16, value_bytes=8192, nodes=1)
+    try:
+        for _ in range(5):
+            with pytest.raises(Unavailable):
+                await client.changes("gs/", 1, timedelta(seconds=1))
+    finally:
+        server.stop()
+
+
+def test_read_that_is_refused_for_good_is_logged_and_counted(caplog: pytest.LogCaptureFixture) -> None:
+    """It was logged at debug level only, like a read during an outage."""
+    asyncio.run(_read_changes_with_status(503))
+    assert not caplog.records
+    asyncio.run(_read_changes_with_status(400))
+    logged = [record.getMessage() for record in caplog.records]
+    assert logged == [f"reading changes, answered with 400, failed, {count} times so far" for count in (1, 2, 4)]
