--- a/review/common2/deployment.py
+++ b/review/common2/deployment.py
@@ -187,17 +187,20 @@
 
     # -- lifecycle --------------------------------------------------------------
 
-    async def start(self) -> None:
-        await self.state.server.listen(self.state_port)
-        await self.cloud.server.listen(self.cloud_port)
-        self._loops.append(asyncio.ensure_future(self.cloud.snapshot_loop()))
-        for node in self.nodes.values():
+    async def start(self, nodes: list[Node] | None = None) -> None:
+        """Starts the stand-ins and these controllers, by default all, and waits until each of them is healthy."""
+        nodes = list(self.nodes.values()) if nodes is None else nodes
+        if not self._loops:
+            await self.state.server.listen(self.state_port)
+            await self.cloud.server.listen(self.cloud_port)
+            self._loops.append(asyncio.ensure_future(self.cloud.snapshot_loop()))
+        for node in nodes:
             node.start()
-        await self.wait_until(self._one_is_up, 30.0)
 
-    async def _one_is_up(self) -> bool:
-        ports = [node.port for node in self.nodes.values()]
-        return all([(await request(port, "GET", "/up", timeout_s=1.0))[0] == 200 for port in ports])
+        async def all_are_up() -> bool:
+            return all([(await request(node.port, "GET", "/up", timeout_s=1.0))[0] == 200 for node in nodes])
+
+        await self.wait_until(all_are_up, 40.0)
 
     def close(self) -> None:
         for loop in self._loops:
--- a/review/common2/state.py
+++ b/review/common2/state.py
@@ -1,6 +1,7 @@
 """Stand-in for the state service, with the limits of the protocol."""
 
 import asyncio
+import bisect
 import json
 import time
 from typing import Any
@@ -62,6 +63,11 @@
         if len(self.events) > 2 * KEPT_CHANGES:
             del self.events[:KEPT_CHANGES]
 
+    def forget_changes(self) -> None:
+        """After a change of ``keys`` from outside: all earlier changes count as too old to be kept."""
+        self.events.clear()
+        self._sorted = None
+
     def _expire(self) -> None:
         now = time.monotonic()
         for number in [number for number, (_, end) in self.leases.items() if end < now]:
@@ -115,8 +121,6 @@
     def _page(self, query: dict[str, str]) -> bytes:
         if self._sorted is None:
             self._sorted = sorted(self.keys)
-        import bisect
-
         prefix, since = query.get("Prefix", ""), query.get("Since", "")
         start = max(bisect.bisect_left(self._sorted, prefix), bisect.bisect_right(self._sorted, since))
         limit = min(int(query.get("Most", PAGE_ITEMS)), PAGE_ITEMS)
@@ -140,7 +144,7 @@
     async def _changes(self, query: dict[str, str]) -> tuple[int, Any]:
         since, prefix = int(query.get("Since", 0)), query.get("Prefix", "")
         oldest = self.revision - KEPT_CHANGES
-        if since < oldest and self.events and self.events[0][0] > since + 1:
+        if since < oldest and (not self.events or self.events[0][0] > since + 1):
             return 410, {}
         end = time.monotonic() + int(query.get("HoldMs", 0)) / 1000
         while True:
