--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -18,6 +18,7 @@
 from gingerspar.coordination.leader.dispatcher import Dispatcher
 from gingerspar.coordination.leader.leader_runtime import LeaderRuntime, max_hold_duration
 from gingerspar.coordination.leader.load_monitor import LoadMonitor
+from gingerspar.coordination.leader.process_report import ProcessReport
 from gingerspar.coordination.leader.term_manager import TermManager
 from gingerspar.coordination.machines.cloud import CloudClient, CloudError, NoCapacity
 from gingerspar.coordination.membership.reachability import Prober, WorkerReachability
@@ -122,6 +123,9 @@
         self._reconciler = Reconciler(
             self._view, self._session, record_writer, self._term_manager.is_dispatching, operator.sweep_batch
         )
+        self._process_report = ProcessReport(
+            self._view, self._load_monitor, facts.machine_limits.memory_mb, self._current_dispatcher
+        )
         self._view.on_term.append(self._term_changed)
         self._claims.leader_reachable = self._leader_reachable
         self._claims.hand_over = self._hand_over
@@ -148,6 +152,7 @@
             "loop of probes": self._prober.run,
             "loop of heartbeats": self._run_heartbeats,
             "loop of the catalog": self._refresh_catalog,
+            "loop of process reports": self._process_report.run,
         }
         failures = ErrorCounts(log)
         tasks = self._link.start(int(peer_port), peer_host)
@@ -324,6 +329,9 @@
         """The leader runtime while this node holds the term, else None."""
         return self._term_manager.runtime
 
+    def _current_dispatcher(self) -> Dispatcher | None:
+        return None if self._runtime is None else self._runtime.dispatcher
+
     def _recent_workers(self) -> int:
         return self._contacts.recent_count(self._clock.now())
 
--- a/gingerspar/coordination/leader/leader_runtime.py
+++ b/gingerspar/coordination/leader/leader_runtime.py
@@ -36,6 +36,7 @@
 from gingerspar.transport.client import Client, NoAnswer
 from gingerspar.transport.clock import Clock
 from gingerspar.transport.error_counts import ErrorCounts
+from gingerspar.transport.process_memory import format_memory, resident_mb
 from gingerspar.transport.server import Answer
 from gingerspar.transport.waits import wait_for_event
 
@@ -194,6 +195,7 @@
 
     def start(self, types: list[MachineType]) -> None:
         """Loads the job records and starts the background tasks."""
+        began = self._clock.now()
         self.dispatcher.set_types(types)
         for final in nlargest(MAX_COUNTED_ENDED_JOBS, self._view.final.values(), key=attrgetter("version")):
             self.dispatcher.cluster_state.service_levels.job_ended(
@@ -202,10 +204,12 @@
         for job in self._view.jobs:
             self._record_changed(job)
         log.info(
-            "term %d started: %d jobs, %d machines on the roster",
+            "term %d started: %d jobs, %d machines on the roster; took %.0f ms, memory %s",
             self.dispatcher.term,
             len(self._view.jobs),
             len(self.dispatcher.machines),
+            (self._clock.now() - began).total_seconds() * 1000,
+            format_memory(resident_mb()),
         )
         self._tasks = [
             asyncio.ensure_future(self._failures.supervise(name, loop))
--- a/gingerspar/coordination/leader/load_monitor.py
+++ b/gingerspar/coordination/leader/load_monitor.py
@@ -41,6 +41,7 @@
         self._clock = clock
         self.state = LoadState.NORMAL
         self.lateness = timedelta(0)  # moving average
+        self._max_lateness = timedelta(0)  # since the last `take_max_lateness`
         self._below_leave_since: timedelta | None = None
 
     @property
@@ -63,6 +64,7 @@
 
     def record_lateness(self, late: timedelta, now: timedelta) -> None:
         """Records that a timer fired ``late`` after its due time; called about ten times a second."""
+        self._max_lateness = max(self._max_lateness, late)
         self.lateness += (min(max(late, timedelta(0)), MAX_COUNTED_LATENESS) - self.lateness) * SMOOTHING_FACTOR
         if self.lateness > OVERLOAD_LEAVE_LATENESS:
             self._below_leave_since = None
@@ -77,6 +79,11 @@
         ):
             self._move(LoadState.NORMAL)
 
+    def take_max_lateness(self) -> timedelta:
+        """Returns the largest lateness of a timer since the previous call."""
+        lateness, self._max_lateness = self._max_lateness, timedelta(0)
+        return lateness
+
     def pause_for_share(self, spent: timedelta, shares: dict[LoadState, float], min_pause: timedelta) -> timedelta:
         """Returns how long an activity that took ``spent`` must pause to keep to its share, at least ``min_pause``."""
         return max(min_pause, spent * (1 / shares[self.state] - 1))
