Hold no entry for an unfinished task: a leader's memory follows what its machines run

No task of any job started, not even an urgent one.

Cause: the dispatcher kept a SortedSet entry for each open task of each unfinished job, filled for all jobs in one step at the start of a term: 8.2 MB and 62 ms for 100,000 tasks. On related paths, each job's bitmap of finished tasks was held up to five times (decoded and as text in the view, as text of each chunk, twice in the dispatcher), and reading and comparing bitmaps went byte by byte (5 ms for each record of a large array).

Change: open tasks are the complement of a set of closed ones. TaskSet is a bitmap in pages: empty pages take nothing, full ones share one object, copies share pages until they differ. The dispatcher's copy of the recorded tasks is gone; the view keeps no text of a bitmap, and puts it back when a record is written (record_changes._stored). Chunks are merged as they are read, page by page of a load, also those of ended jobs, which were kept encoded until the last page.

--- a/bench/job_cost.py
+++ b/bench/job_cost.py
@@ -7,13 +7,11 @@
     python -m bench.job_cost --arrays 24 --arrays 400 --done 7
 """
 
-import os
 import subprocess
 import sys
 import time
 from collections.abc import Callable
 from datetime import timedelta
-from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
 
@@ -39,10 +37,12 @@
 )
 from gingerspar.protocol.settings import TeamFacts, WorkerFacts
 from gingerspar.storage import records
-from gingerspar.storage.records import Claimant, JobRecord, TaskSet
+from gingerspar.storage.records import Claimant, JobRecord
+from gingerspar.storage.task_set import TaskSet
 from gingerspar.storage.transactions import TransactionBuilder, TransactionLimits
 from gingerspar.storage.view import WatchedView
 from gingerspar.transport.clock import Clock
+from gingerspar.transport.process_memory import resident_mb
 
 MACHINE_TYPES = [
     MachineType("plain", 16, 64, cache_gb=60, zones=("a",), price=1.0, boot_s=20),
@@ -53,31 +53,24 @@
 VERSION_STEP = 1_000_000  # versions of later records are above those of all loaded ones
 
 
-def resident_mb() -> float:
-    """Memory that this process holds now, in units of 2^20 bytes."""
-    pages = int(Path("/proc/self/statm").read_text().split()[1])
-    return pages * os.sysconf("SC_PAGE_SIZE") / 2**20
-
-
 class Steps:
-    """Prints, for each step, the memory held after it, its duration and that of its longest part."""
+    """Prints, for each step, the memory held after it, its processor time and that of its longest part."""
 
     def __init__(self) -> None:
-        self._base_mb = resident_mb()
         print(f"{'step':32s} {'held_mb':>8s} {'total_s':>8s} {'longest_s':>9s}")
         self._print("start", 0.0, 0.0)
 
     def run(self, name: str, parts: list[Callable[[], Any]]) -> None:
         longest = total = 0.0
         for part in parts:
-            began = time.perf_counter()
+            began = time.process_time()
             part()
-            elapsed = time.perf_counter() - began
+            elapsed = time.process_time() - began
             longest, total = max(longest, elapsed), total + elapsed
         self._print(name, total, longest)
 
     def _print(self, name: str, total: float, longest: float) -> None:
-        print(f"{name:32s} {resident_mb():8.1f} {total:8.3f} {longest:9.4f}", flush=True)
+        print(f"{name:32s} {resident_mb() or 0.0:8.1f} {total:8.3f} {longest:9.4f}", flush=True)
 
 
 class JobCost:
--- a/bench/leader_load.py
+++ b/bench/leader_load.py
@@ -37,7 +37,8 @@
     encode,
 )
 from gingerspar.protocol.settings import TeamFacts, WorkerFacts
-from gingerspar.storage.records import Claimant, JobRecord, TaskSet
+from gingerspar.storage.records import Claimant, JobRecord
+from gingerspar.storage.task_set import TaskSet
 
 STEP = timedelta(milliseconds=50)
 REPORT_INTERVAL = timedelta(seconds=2.5)  # mean time between two reports of a machine whose tasks don't end
--- a/gingerspar/coordination/cluster/job_runs.py
+++ b/gingerspar/coordination/cluster/job_runs.py
@@ -7,11 +7,13 @@
 from enum import Enum
 from typing import NamedTuple
 
-from sortedcontainers import SortedDict, SortedSet
+from sortedcontainers import SortedDict
 
 from gingerspar.coordination.cluster.machine import ZERO_DURATION, Machine, Placement
+from gingerspar.coordination.cluster.open_tasks import OpenTasks
 from gingerspar.protocol.messages import JobSpec, JobStatus, Priority, Shape
-from gingerspar.storage.records import JobRecord, Order, TaskSet
+from gingerspar.storage.records import JobRecord, Order
+from gingerspar.storage.task_set import TaskSet
 
 FIRST_BACKOFF = timedelta(seconds=1)  # initial pause before a job is placed again after a failure
 
@@ -42,9 +44,7 @@
     spec: JobSpec
     record: JobRecord
     finished: TaskSet  # tasks finished according to the record or to reports
-    recorded: TaskSet  # tasks finished according to the record
     unrecorded: set[int] = field(default_factory=set)  # tasks finished according to reports, not yet in the record
-    open: "SortedSet[int]" = field(default_factory=SortedSet)  # unfinished tasks without a placement
     placements: dict[int, list[Placement]] = field(default_factory=dict)  # live placements by task
     running: int = 0  # number of live placements that run or save
     gang_state: GangState = GangState.IDLE
@@ -65,6 +65,7 @@
     reserved_since: timedelta | None = None
     limit_reserved_since: timedelta | None = None  # since when the rest of its team's limit is reserved for the gang
     preemption_checked_at: timedelta | None = None  # when preemption of less urgent work for the run was last evaluated
+    open: OpenTasks = field(init=False)  # unfinished tasks without a placement
     order: Order = field(init=False)  # key in the backlog; changes only through `Backlog.reorder`
     lateness: int = 0  # maximum of `ClusterState.lateness` so far; later jobs are ordered further back
     is_gang: bool = field(init=False)
@@ -74,6 +75,9 @@
 
     def __post_init__(self) -> None:
         self.order = self.record.order
+        self.open = OpenTasks(self.finished)
+        if self.ended:
+            self.open.clear()
         spec = self.spec
         self.is_gang = spec.shape is Shape.GANG
         count = spec.tasks if self.is_gang else 1
@@ -227,4 +231,4 @@
 def run_of_ended_job(spec: JobSpec) -> JobRun:
     """Returns a run for an ended job whose tasks are still found on machines."""
     record = JobRecord(spec=spec, status=JobStatus.CANCELLED)
-    return JobRun(spec, record, TaskSet(spec.tasks), TaskSet(spec.tasks), ended=True)
+    return JobRun(spec, record, TaskSet(spec.tasks), ended=True)
--- a/gingerspar/coordination/jobs/record_changes.py
+++ b/gingerspar/coordination/jobs/record_changes.py
@@ -4,7 +4,8 @@
 
 from gingerspar.protocol.messages import JobStatus, KeyVersion, Put, Shape
 from gingerspar.storage import records
-from gingerspar.storage.records import JobRecord, TaskSet
+from gingerspar.storage.records import JobRecord
+from gingerspar.storage.task_set import TaskSet
 from gingerspar.storage.transactions import TransactionBuilder
 from gingerspar.storage.view import Versioned
 
@@ -25,9 +26,16 @@
         return [*self.chunks, Put(records.job_key(self.job), records.pack(self.record))]
 
 
+def _stored(entry: Versioned) -> JobRecord:
+    """The record as it is stored: with the bitmap, unless that is stored in chunks."""
+    if entry.record.spilled:
+        return entry.record
+    return msgspec.structs.replace(entry.record, finished=entry.finished.text())
+
+
 def claimed(entry: Versioned, claimant: records.Claimant, term: int) -> JobRecord:
     """The record with a new claim: pending becomes running, and the attempt goes up by one."""
-    record = entry.record
+    record = _stored(entry)
     return msgspec.structs.replace(
         record,
         status=JobStatus.RUNNING,
@@ -40,7 +48,7 @@
 
 def released(entry: Versioned) -> JobRecord:
     """The record without its claim: running becomes pending, and the attempt is unchanged."""
-    return msgspec.structs.replace(entry.record, status=JobStatus.PENDING, claimant=None)
+    return msgspec.structs.replace(_stored(entry), status=JobStatus.PENDING, claimant=None)
 
 
 def cancelled(entry: Versioned) -> JobRecord:
@@ -69,7 +77,7 @@
     elif record.spilled or records.must_spill(record.spec, value_bytes):
         change.record = msgspec.structs.replace(record, finished="", spilled=True)
         chunk_bits = 8 * records.chunk_bytes(value_bytes)
-        if record.finished:
+        if not record.spilled and entry.finished:
             # Earlier results are in the record itself: they have to move to the chunks in the same transaction.
             change.chunks = _chunks(finished, {number // chunk_bits for number in finished}, record, value_bytes)
         else:
--- a/gingerspar/coordination/leader/dispatcher.py
+++ b/gingerspar/coordination/leader/dispatcher.py
@@ -34,7 +34,8 @@
     Verb,
 )
 from gingerspar.protocol.settings import Objective, TeamFacts, WorkerFacts
-from gingerspar.storage.records import JobRecord, TaskSet
+from gingerspar.storage.records import JobRecord
+from gingerspar.storage.task_set import TaskSet
 
 log = logging.getLogger(__name__)
 
@@ -145,27 +146,26 @@
                     run.running,
                     run.max_used_attempt,
                 )
-                new_run.open -= set(run.placements)
+                for number in run.placements:
+                    new_run.open.discard(number)
             run = self.runs[job] = new_run
         run.record = record
         if record.claim_term < self.term:
             # The job was claimed under an earlier leader, which may have started this attempt.
             run.max_used_attempt = max(run.max_used_attempt, record.attempt)
-        for number in finished.difference(run.recorded):
+        for number in finished.difference(run.finished):
             run.finished.add(number)
-            run.recorded.add(number)
-            run.unrecorded.discard(number)
             run.open.discard(number)
+        run.unrecorded = {number for number in run.unrecorded if number not in finished}
         if not run.unrecorded:
             self.cluster_state.unrecorded.pop(job, None)
         self.backlog.update(run, now, rescan=True)
 
     def _new_run(self, record: JobRecord, finished: TaskSet, now: timedelta) -> JobRun:
-        run = JobRun(record.spec, record, finished.copy(), finished.copy(), submitted=now)
+        run = JobRun(record.spec, record, finished.copy(), submitted=now)
         if self._utc_now is not None:
             age = self._utc_now().timestamp() - record.submitted
             run.submitted = now - timedelta(seconds=max(age, 0.0))
-        run.open.update(finished.missing())
         run.has_started = len(finished) > 0
         self.cluster_state.largest_jobs.add(run.spec)
         run.order = self.cluster_state.order_key(run, now)
--- a/gingerspar/coordination/placement/placer.py
+++ b/gingerspar/coordination/placement/placer.py
@@ -381,7 +381,7 @@
                 capacity = min(
                     capacity, cluster_state.service_levels.remaining_tasks(run, for_first_task=start_overdue)
                 )
-            for number in list(run.open[: capacity + len(machine.exited_placements)]):
+            for number in run.open.first(capacity + len(machine.exited_placements)):
                 if remaining <= 0 or capacity <= 0 or (zone_headroom is not None and zone_headroom[machine.zone] <= 0):
                     break
                 if machine.exited_placements and (spec.job, number, attempt) in machine.exited_placements:
--- a/gingerspar/storage/records.py
+++ b/gingerspar/storage/records.py
@@ -4,9 +4,6 @@
 ``Claimant`` is stored as an array, and ``TermRecord.leader`` names its stored field.
 """
 
-import base64
-from collections.abc import Iterable, Iterator
-
 import msgspec
 
 from gingerspar.protocol.messages import JobSpec, JobStatus, Priority, Shape
@@ -40,77 +37,6 @@
 Order = tuple[int, float, float, str]
 
 
-class TaskSet:
-    """Set of task numbers from 0 to ``size - 1``, stored as a bitmap: 100,000 numbers take 12.5 KB."""
-
-    __slots__ = ("_bits", "_count", "_size")
-
-    def __init__(self, size: int, members: Iterable[int] = ()) -> None:
-        self._size = size
-        self._bits = bytearray((size + 7) // 8)
-        self._count = 0
-        for number in members:
-            self.add(number)
-
-    def __contains__(self, number: int) -> bool:
-        return 0 <= number < self._size and bool(self._bits[number >> 3] & (1 << (number & 7)))
-
-    def __len__(self) -> int:
-        return self._count
-
-    def __iter__(self) -> Iterator[int]:
-        return (number for number in range(self._size) if number in self)
-
-    @property
-    def size(self) -> int:
-        return self._size
-
-    @property
-    def full(self) -> bool:
-        return self._count == self._size
-
-    def add(self, number: int) -> bool:
-        """Returns whether the number was added: it is in range and was not a member before."""
-        if not 0 <= number < self._size or number in self:
-            return False
-        self._bits[number >> 3] |= 1 << (number & 7)
-        self._count += 1
-        return True
-
-    def missing(self) -> Iterator[int]:
-        """Numbers that are not members, in ascending order."""
-        return (number for number in range(self._size) if number not in self)
-
-    def difference(self, other: "TaskSet") -> list[int]:
-        """Members of this set that are not in ``other``, a set of the same size."""
-        found: list[int] = []
-        for index, (own_byte, other_byte) in enumerate(zip(self._bits, other._bits, strict=True)):
-            remaining = own_byte & ~other_byte
-            while remaining:
-                lowest = remaining & -remaining
-                found.append(index * 8 + lowest.bit_length() - 1)
-                remaining ^= lowest
-        return found
-
-    def copy(self) -> "TaskSet":
-        other = TaskSet(0)
-        other._size, other._bits, other._count = self._size, bytearray(self._bits), self._count
-        return other
-
-    def text(self, first_byte: int = 0, byte_count: int | None = None) -> str:
-        """Base64 of the bitmap, or of ``byte_count`` bytes from ``first_byte`` on, without trailing zero bytes."""
-        end = len(self._bits) if byte_count is None else first_byte + byte_count
-        return base64.b64encode(bytes(self._bits[first_byte:end]).rstrip(b"\0")).decode()
-
-    def merge(self, text: str, first_byte: int = 0) -> None:
-        """Adds the members that ``text`` returned for the part of a bitmap that starts at ``first_byte``."""
-        for offset, byte in enumerate(base64.b64decode(text)):
-            index = first_byte + offset
-            if byte and index < len(self._bits):
-                self._count += (byte & ~self._bits[index]).bit_count()
-                self._bits[index] |= byte
-
-
 class Claimant(msgspec.Struct, frozen=True, array_like=True):
     """A node in one of its sessions.
 
--- a/gingerspar/storage/view.py
+++ b/gingerspar/storage/view.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from gingerspar.protocol.messages import Changes, Item, JobSpec, JobStatus
+from gingerspar.protocol.messages import MAX_TASKS, Changes, Item, JobSpec, JobStatus
 from gingerspar.storage import records
 from gingerspar.storage.client import OutcomeUnknown, RevisionCompacted, StateClient, Unavailable
 from gingerspar.storage.records import (
@@ -24,9 +24,9 @@
     JobRecord,
     NodeRecord,
     RosterRecord,
-    TaskSet,
     TermRecord,
 )
+from gingerspar.storage.task_set import TaskSet
 from gingerspar.transport.clock import Clock
 from gingerspar.transport.waits import wait_for_event
 
@@ -65,13 +65,26 @@
 
 
 class Versioned(msgspec.Struct):
-    """An unfinished job's decoded record, with its version and its set of finished tasks."""
+    """An unfinished job's decoded record, with its version and its set of finished tasks.
+
+    The bitmap of finished tasks is held once, as ``finished``: ``record.finished`` is always empty.
+    """
 
     record: JobRecord
     version: int
     finished: TaskSet
 
 
+class _ChunkedBitmap:
+    """The chunks of one job's bitmap that have been read."""
+
+    __slots__ = ("tasks", "versions")
+
+    def __init__(self) -> None:
+        self.tasks = TaskSet(MAX_TASKS)  # the job's record, with the number of its tasks, may be read later
+        self.versions: dict[int, int] = {}  # by chunk
+
+
 class WatchedView:
     """The decoded values of all keys under ``records.PREFIX``, with their versions, on which writes are conditional.
 
@@ -101,7 +114,7 @@
         self.liveness: dict[str, timedelta] = {}  # by node: when its liveness mark was last read here
         self.unreadable: set[str] = set()  # jobs with a record of a newer release that can't be decoded
         self._tombstones: dict[str, int] = {}  # by key: version of an own deletion until the changes read include it
-        self._chunks: dict[str, dict[int, tuple[str, int]]] = {}  # by job and chunk: bits and version
+        self._chunks: dict[str, _ChunkedBitmap] = {}  # by job; only of unfinished ones
         self._footprints: dict[Footprint, Footprint] = {}  # one shared object for all equal footprints
         self._read_requested = asyncio.Event()
         self._barriers: list[asyncio.Future[None]] = []
@@ -234,7 +247,8 @@
         """Reads all keys, page by page; changes are then read from the first page's revision on.
 
         Records of ended jobs are applied with each page: there are far more of them than of all others, and they no
-        longer change. All other keys are applied together, after the last page.
+        longer change. So are chunks of bitmaps, which stay in the service when their jobs have ended and precede the
+        job records. All other keys are applied together, after the last page.
         """
         revision: int | None = None
         since: str | None = None
@@ -245,7 +259,7 @@
             if revision is None:
                 revision = page.revision
             key_count += len(page.items)
-            items += [item for item in page.items if not self._apply_if_ended(item)]
+            items += [item for item in page.items if not self._apply_while_loading(item)]
             if not page.more or not page.items:
                 break
             since = page.items[-1].key
@@ -259,8 +273,11 @@
         self.phase = Phase.FOLLOWING
         log.info("view: loaded %d keys at revision %d", key_count, revision)
 
-    def _apply_if_ended(self, item: Item) -> bool:
-        """Applies the record of an ended job; returns False for any other key."""
+    def _apply_while_loading(self, item: Item) -> bool:
+        """Applies a chunk of a bitmap or the record of an ended job; returns False for any other key."""
+        if item.key.startswith(records.FINISHED):
+            self.apply(item.key, bytes(item.value), item.version)
+            return True
         job = item.key.removeprefix(records.JOBS)
         if job == item.key:
             return False
@@ -341,15 +358,16 @@
             self._apply_ended(job, record, version)
             return
         self.unreadable.discard(job)
-        self.jobs[job] = Versioned(record, version, finished)
+        self.jobs[job] = Versioned(msgspec.structs.replace(record, finished=""), version, finished)
         self._notify(f"record of {job}", self.on_job, job)
 
     def _finished_tasks(self, record: JobRecord) -> TaskSet:
         """The finished tasks of an unfinished job. Raises ValueError if the bitmap can't be decoded."""
         finished = TaskSet(record.spec.tasks)
         if record.spilled:
-            for chunk, (bits, _) in self._chunks.get(record.spec.job, {}).items():
-                finished.merge(bits, chunk * records.chunk_bytes(self._client.value_bytes))
+            chunks = self._chunks.get(record.spec.job)
+            if chunks is not None:
+                finished.update(chunks.tasks)
         else:
             finished.merge(record.finished)
         return finished
@@ -380,18 +398,19 @@
 
     def _apply_chunk(self, name: str, value: bytes | None, version: int) -> None:
         job, _, number = name.rpartition("/")
-        chunk = int(number)
-        chunks = self._chunks.setdefault(job, {})
         if value is None or job in self.final:
-            chunks.pop(chunk, None)
-            return
-        if chunk in chunks and chunks[chunk][1] >= version:
+            return  # chunks are never deleted, and those of ended jobs mean nothing any more
+        chunk = int(number)
+        chunks = self._chunks.setdefault(job, _ChunkedBitmap())
+        if chunks.versions.get(chunk, -1) >= version:
             return
         bits = msgspec.json.decode(value, type=ChunkRecord).bits
-        chunks[chunk] = (bits, version)
+        first_byte = chunk * records.chunk_bytes(self._client.value_bytes)
+        chunks.tasks.merge(bits, first_byte)
+        chunks.versions[chunk] = version
         entry = self.jobs.get(job)
         if entry is not None and entry.record.spilled:
-            entry.finished.merge(bits, chunk * records.chunk_bytes(self._client.value_bytes))
+            entry.finished.merge(bits, first_byte)
 
     def session_alive(self, claimant: records.Claimant) -> bool:
         """Whether the claimant's session is still open."""
--- a/tests/test_capacity_index.py
+++ b/tests/test_capacity_index.py
@@ -17,7 +17,8 @@
 from gingerspar.coordination.cluster.pool import allows
 from gingerspar.protocol.messages import JobSpec, JobStatus, MachineType, Priority, Shape
 from gingerspar.protocol.settings import TeamFacts
-from gingerspar.storage.records import JobRecord, TaskSet
+from gingerspar.storage.records import JobRecord
+from gingerspar.storage.task_set import TaskSet
 
 KINDS = [
     MachineType("plain", 16, 64, zones=("a", "b"), price=1.0, spot_price=0.3, boot_s=20),
@@ -68,7 +69,7 @@
         return machines[number % len(machines)]
 
     def _run(self, spec: JobSpec) -> JobRun:
-        run = JobRun(spec, JobRecord(spec, JobStatus.RUNNING, 1), TaskSet(50), TaskSet(50))
+        run = JobRun(spec, JobRecord(spec, JobStatus.RUNNING, 1), TaskSet(50))
         self.cluster_state.runs[spec.job] = run
         return run
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -24,6 +24,7 @@
 from gingerspar.storage.budgets import Urgency
 from gingerspar.storage.client import Conflict
 from gingerspar.storage.records import Claimant, JobRecord, NodeRecord, TermRecord
+from gingerspar.storage.task_set import TaskSet
 from gingerspar.storage.transactions import TransactionBuilder, TransactionLimits
 from gingerspar.storage.view import Versioned, WatchedView
 from gingerspar.transport.clock import Clock
@@ -214,7 +215,7 @@
 
     def entry(number: int, status: JobStatus, **changes: Any) -> Versioned:
         spec = messages.parse_job(job(number, **changes))
-        return Versioned(JobRecord(spec, status), 1, records.TaskSet(spec.tasks))
+        return Versioned(JobRecord(spec, status), 1, TaskSet(spec.tasks))
 
     resources = ClaimedResources()
     resources.update_job("wk-000001", entry(1, JobStatus.RUNNING, Pieces=4))
--- a/tests/test_large_records.py
+++ b/tests/test_large_records.py
@@ -10,7 +10,8 @@
 from gingerspar.protocol import messages
 from gingerspar.protocol.messages import JobStatus
 from gingerspar.storage import records
-from gingerspar.storage.records import Claimant, JobRecord, NodeRecord, TaskSet
+from gingerspar.storage.records import Claimant, JobRecord, NodeRecord
+from gingerspar.storage.task_set import TaskSet
 from tests.standins.cloud import wait_until
 from tests.standins.cluster import Cluster, job
 from tests.standins.simulated_time import SimulatedClock, run_simulated
--- a/tests/test_leader_runtime.py
+++ b/tests/test_leader_runtime.py
@@ -35,7 +35,8 @@
     Shape,
 )
 from gingerspar.protocol.settings import OperatorSettings, WorkerFacts
-from gingerspar.storage.records import JobRecord, TaskSet
+from gingerspar.storage.records import JobRecord
+from gingerspar.storage.task_set import TaskSet
 from gingerspar.transport.clock import Clock
 from gingerspar.transport.server import Answer, Request, Server
 
@@ -206,7 +207,7 @@
     machine = cluster_state.add_machine("n-1", "big", "a", False, timedelta(0), MachineState.BOOTING)
     assert _hold_duration(machine, 600, False) == HOLD_IDLE
     spec = JobSpec("wk-000001", "c", "red", Shape.ARRAY, Priority.NORMAL, 2, 4.0, 8.0)
-    run = JobRun(spec, JobRecord(spec, JobStatus.RUNNING), TaskSet(2), TaskSet(2))
+    run = JobRun(spec, JobRecord(spec, JobStatus.RUNNING), TaskSet(2))
     cluster_state.runs[spec.job] = run
     placement = Placement(spec, 0, 1, machine, TaskState.FETCHING, timedelta(0))
     cluster_state.add_placement(run, placement)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -23,7 +23,8 @@
 )
 from gingerspar.protocol.settings import TeamFacts, WorkerFacts
 from gingerspar.storage import records
-from gingerspar.storage.records import Claimant, JobRecord, RosterRecord, TaskSet
+from gingerspar.storage.records import Claimant, JobRecord, RosterRecord
+from gingerspar.storage.task_set import TaskSet
 
 MACHINES = 500
 TASKS_PER_MACHINE = 4
--- a/tests/test_service_level.py
+++ b/tests/test_service_level.py
@@ -9,7 +9,8 @@
 from gingerspar.coordination.leader.dispatcher import Dispatcher
 from gingerspar.protocol.messages import JobSpec, JobStatus, MachineType, Priority, Shape
 from gingerspar.protocol.settings import Objective, TeamFacts, WorkerFacts
-from gingerspar.storage.records import Claimant, JobRecord, TaskSet
+from gingerspar.storage.records import Claimant, JobRecord
+from gingerspar.storage.task_set import TaskSet
 
 MACHINES = 20
 
@@ -141,5 +142,5 @@
     large = record(spec("wk-large", tasks=64, estimate_s=40.0))
     small = record(spec("wk-small", tasks=16, estimate_s=40.0))
     assert job_order.key(large, remaining_tasks=2) < job_order.key(small) < job_order.key(large)
-    run = JobRun(large.spec, large, TaskSet(64), TaskSet(64))
+    run = JobRun(large.spec, large, TaskSet(64))
     assert run.order == large.order  # that of its record until the run is added to the cluster state
--- a/tests/test_small_tasks.py
+++ b/tests/test_small_tasks.py
@@ -18,7 +18,8 @@
     encode,
 )
 from gingerspar.protocol.settings import TeamFacts, WorkerFacts
-from gingerspar.storage.records import Claimant, JobRecord, TaskSet
+from gingerspar.storage.records import Claimant, JobRecord
+from gingerspar.storage.task_set import TaskSet
 from gingerspar.transport.server import MAX_BODY_BYTES
 from tests.standins.cloud import wait_until
 from tests.standins.cluster import Cluster, job
--- a/tests/test_start_deadline.py
+++ b/tests/test_start_deadline.py
@@ -12,7 +12,8 @@
 from gingerspar.coordination.leader.dispatcher import Dispatcher
 from gingerspar.protocol.messages import JobSpec, JobStatus, MachineType, Priority, Shape
 from gingerspar.protocol.settings import TeamFacts, WorkerFacts
-from gingerspar.storage.records import Claimant, JobRecord, TaskSet
+from gingerspar.storage.records import Claimant, JobRecord
+from gingerspar.storage.task_set import TaskSet
 
 MACHINES = 12
 START_LIMIT_S = 240.0
--- a/tests/test_transaction_limits.py
+++ b/tests/test_transaction_limits.py
@@ -16,7 +16,8 @@
 from gingerspar.storage.batches import commit_in_parts
 from gingerspar.storage.budgets import Urgency
 from gingerspar.storage.client import OutcomeUnknown, Rejected, StateClient, Unavailable
-from gingerspar.storage.records import Claimant, JobRecord, TaskSet
+from gingerspar.storage.records import Claimant, JobRecord
+from gingerspar.storage.task_set import TaskSet
 from gingerspar.storage.transactions import MAX_BATCH_BYTES, TransactionBuilder, TransactionLimits
 from gingerspar.storage.view import WatchedView
 from gingerspar.transport.clock import Clock
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -6,7 +6,8 @@
 from gingerspar.protocol import messages
 from gingerspar.protocol.messages import Malformed
 from gingerspar.protocol.settings import BadSettings, parse_operator_settings, parse_settings
-from gingerspar.storage.records import TaskSet, chunk_bytes, must_spill
+from gingerspar.storage.records import chunk_bytes, must_spill
+from gingerspar.storage.task_set import TaskSet
 from gingerspar.transport import netstrings
 from tests.standins.cluster import Cluster, job
 
--- a/tests/tracing.py
+++ b/tests/tracing.py
@@ -26,7 +26,8 @@
     encode,
 )
 from gingerspar.protocol.settings import Objective, TeamFacts, WorkerFacts
-from gingerspar.storage.records import Claimant, JobRecord, TaskSet
+from gingerspar.storage.records import Claimant, JobRecord
+from gingerspar.storage.task_set import TaskSet
 
 
 def _fields(words: list[str]) -> dict[str, str]:
