No step of the leader takes quadratic time in the tasks of a job or in the waiting jobs

Change: a stopping gang is not visited again; a gang that is done is done once; a failed task is compared with the 100 first others that run; room in zones is counted down; demands are counted by amount; a call places 1,000 tasks (a gang is placed whole) and the next one goes on.

--- a/gingerspar/coordination/cluster/cluster_state.py
+++ b/gingerspar/coordination/cluster/cluster_state.py
@@ -220,7 +220,9 @@
     def gang_task_lost(self, run: JobRun, now: timedelta) -> None:
         """Handles the loss of a task: a gang that has lost a task is stopped whole."""
         if run.is_gang and not run.ended:
-            if run.placements:
+            if run.placements and run.gang_state is not GangState.STOPPING:
+                # Once only: a visit to all other tasks for each one that ends would take quadratic time, and the tasks
+                # that have not been sent yet, which are gone at once, would call this function within itself.
                 run.set_gang_state(GangState.STOPPING)
                 for placement in run.live:
                     if placement.stop_grace is None:
@@ -263,11 +265,13 @@
     def task_done(self, run: JobRun, number: int) -> bool:
         """Records that a task has completed; returns whether that was not known before."""
         run.has_started = True  # an earlier leader may have started it
+        if run.ended or number in run.finished:
+            return False
         # The tasks of a gang complete together: if one is done, all are.
         numbers = range(run.spec.tasks) if run.is_gang else (number,)
         is_new = False
         for task_number in numbers:
-            if not run.ended and run.finished.add(task_number):
+            if run.finished.add(task_number):
                 is_new = True
                 run.unrecorded.add(task_number)
                 run.open.discard(task_number)
--- a/gingerspar/coordination/cluster/job_runs.py
+++ b/gingerspar/coordination/cluster/job_runs.py
@@ -1,6 +1,5 @@
 """The leader's state of each unfinished job (``JobRun``), and the backlog of jobs that wait for machines."""
 
-import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -29,6 +28,38 @@
     memory_gb: float
 
 
+class Demands:
+    """The amounts that a task of each of several jobs needs, with their minimum.
+
+    Amounts are counted by value, so that the minimum is known after each change without a search. Many waiting jobs are
+    alike: each one that was placed had its whole group searched, and 20,000 jobs kept the leader busy for minutes.
+    """
+
+    def __init__(self) -> None:
+        self._cpus: SortedDict[float, int] = SortedDict()  # number of jobs by amount
+        self._gpus: SortedDict[float, int] = SortedDict()
+        self._memory_gb: SortedDict[float, int] = SortedDict()
+
+    def __bool__(self) -> bool:
+        return bool(self._cpus)
+
+    def add(self, spec: JobSpec) -> None:
+        for counts, amount in self._counts_and_amounts(spec):
+            counts[amount] = counts.get(amount, 0) + 1
+
+    def remove(self, spec: JobSpec) -> None:
+        for counts, amount in self._counts_and_amounts(spec):
+            counts[amount] -= 1
+            if not counts[amount]:
+                del counts[amount]
+
+    def _counts_and_amounts(self, spec: JobSpec) -> tuple[tuple["SortedDict[float, int]", float], ...]:
+        return ((self._cpus, spec.cpus), (self._gpus, spec.gpus), (self._memory_gb, spec.memory_gb))
+
+    def minimum(self) -> MinDemand:
+        return MinDemand(self._cpus.peekitem(0)[0], self._gpus.peekitem(0)[0], self._memory_gb.peekitem(0)[0])
+
+
 class GangState(Enum):
     """State of a gang; it starts and stops as a whole. Jobs of other shapes stay IDLE."""
 
@@ -125,8 +156,7 @@
         self.unscanned: SortedDict[Order, JobRun] = SortedDict()
         self.awaiting_attempt: dict[str, JobRun] = {}
         self._delayed: dict[str, JobRun] = {}
-        self._by_constraint: dict[ConstraintKey, dict[str, JobRun]] = {}
-        self._min_demands: dict[ConstraintKey, MinDemand] = {}
+        self._demands: dict[ConstraintKey, Demands] = {}  # of the waiting runs
 
     def update(self, run: JobRun, now: timedelta, *, rescan: bool = False) -> None:
         """Files the run according to its state; must be called after each change that may affect ``is_waiting``.
@@ -141,7 +171,7 @@
             if order not in self.waiting:
                 run.waiting_since = now
                 self.waiting[order] = run
-                self._add_to_constraint_group(run)
+                self._demands.setdefault(run.constraint_key, Demands()).add(run.spec)
                 rescan = True
             if rescan or len(run.open) > run.open_when_scanned:
                 self.unscanned[order] = run
@@ -157,34 +187,14 @@
         self.unscanned.pop(run.order, None)
         if self.waiting.pop(run.order, None) is None:
             return
-        members = self._by_constraint[run.constraint_key]
-        del members[run.spec.job]
-        min_demand = self._min_demands.get(run.constraint_key)
-        spec = run.spec
-        if not members:
-            del self._by_constraint[run.constraint_key]
-            self._min_demands.pop(run.constraint_key, None)
-        elif min_demand is not None and (
-            spec.cpus <= min_demand.cpus or spec.gpus <= min_demand.gpus or spec.memory_gb <= min_demand.memory_gb
-        ):
-            del self._min_demands[run.constraint_key]  # recomputed by `min_demands`
-
-    def _add_to_constraint_group(self, run: JobRun) -> None:
-        members = self._by_constraint.setdefault(run.constraint_key, {})
-        members[run.spec.job] = run
-        min_demand = self._min_demands.get(run.constraint_key)
-        if min_demand is not None:
-            self._min_demands[run.constraint_key] = _lower_min_demand(min_demand, run.spec)
+        demands = self._demands[run.constraint_key]
+        demands.remove(run.spec)
+        if not demands:
+            del self._demands[run.constraint_key]
 
     def min_demands(self) -> list[tuple[ConstraintKey, MinDemand]]:
         """The minimum demand of a task, for each constraint key among the waiting jobs."""
-        for constraint_key, members in self._by_constraint.items():
-            if constraint_key not in self._min_demands:
-                min_demand = MinDemand(math.inf, math.inf, math.inf)
-                for run in members.values():
-                    min_demand = _lower_min_demand(min_demand, run.spec)
-                self._min_demands[constraint_key] = min_demand
-        return list(self._min_demands.items())
+        return [(constraint_key, demands.minimum()) for constraint_key, demands in self._demands.items()]
 
     def resume_delayed(self, now: timedelta) -> None:
         """Moves runs whose pause has ended back to the waiting runs."""
@@ -215,12 +225,6 @@
         return iter(list(self.waiting.values()))
 
 
-def _lower_min_demand(min_demand: MinDemand, spec: JobSpec) -> MinDemand:
-    return MinDemand(
-        min(min_demand.cpus, spec.cpus), min(min_demand.gpus, spec.gpus), min(min_demand.memory_gb, spec.memory_gb)
-    )
-
-
 def unknown_job_spec(job: str) -> JobSpec:
     """Returns a placeholder for a job that has no record."""
     return JobSpec(
--- a/gingerspar/coordination/leader/dispatcher.py
+++ b/gingerspar/coordination/leader/dispatcher.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 from datetime import datetime, timedelta
+from itertools import islice
 
 from gingerspar.coordination.cluster.cluster_state import NO_GRACE_PERIOD, ClusterState
 from gingerspar.coordination.cluster.delivery import TOKEN_RETRY_LIMIT, DeliveryState, tried_other_controllers
@@ -49,6 +50,9 @@
 FAULTY_MACHINE_MIN_TASKS = 2
 # A task runs well if it has run for twice as long as a failed task of its job, plus this margin.
 HEALTHY_RUN_MARGIN = timedelta(seconds=5)
+# Other tasks of the job with which a failed one is compared. Those that were placed first come first, so that few
+# suffice; a comparison with all of them, for each failure, would take quadratic time.
+MAX_COMPARED_TASKS = 100
 # A job is faulty if it failed on this many machines and succeeded on none.
 FAULTY_JOB_MIN_MACHINES = 3
 # An answer has to stay below 64 KiB; the longest command takes about 75 bytes.
@@ -425,10 +429,15 @@
     def _runs_elsewhere(run: JobRun, failed: Placement, now: timedelta) -> bool:
         """Whether a task of the job has run on another machine for far longer than this one took to fail."""
         time_to_failure = now - (failed.running_since or failed.state_since)
+        running_elsewhere = (
+            other.running_since
+            for placements in run.placements.values()
+            for other in placements
+            if other.running_since is not None and other.machine is not failed.machine
+        )
         return any(
-            other.running_since is not None and now - other.running_since > 2 * time_to_failure + HEALTHY_RUN_MARGIN
-            for other in run.live
-            if other.machine is not failed.machine
+            now - running_since > 2 * time_to_failure + HEALTHY_RUN_MARGIN
+            for running_since in islice(running_elsewhere, MAX_COMPARED_TASKS)
         )
 
     def _drain_if_faulty(self, machine: Machine, now: timedelta) -> None:
--- a/gingerspar/coordination/placement/placer.py
+++ b/gingerspar/coordination/placement/placer.py
@@ -20,6 +20,10 @@
 # Machine checks in one call of `Placer.place`. The next call continues the pass; in between, the leader handles
 # reports and reads.
 MAX_MACHINE_CHECKS = 6000
+# The largest free amounts of this many gained machines are recomputed in the time of one machine check.
+REFRESHED_MACHINES_PER_CHECK = 16
+# Tasks placed in one call of `Placer.place`, except that a gang is placed whole; the next call continues the pass.
+MAX_PLACED_TASKS = 1000
 # All waiting runs are checked against all machines at this interval. It bounds the delay after changes that no machine
 # announces.
 RESCAN_INTERVAL = timedelta(seconds=2)
@@ -96,6 +100,7 @@
         self._gained = GainedMachines([])  # machines that the current pass checks runs against
         self._resume_after: Order | None = None  # order key of the last run that an unfinished pass has checked
         self._last_rescan = timedelta(0)
+        self._placeable_tasks = 0  # how many more tasks the current call may place
         self._machines_by_key: dict[FitKey, list[Machine]] = {}  # machines with free capacity for a task
         # Demands that fit on none of the gained machines, by constraints and whether accelerators had to be spared.
         self._failed_demands: dict[tuple[ConstraintKey, bool], list[MinDemand]] = {}
@@ -136,10 +141,12 @@
                     self._try_place_run(run, None, now)
                 elif run.is_gang or (run.constraint_key in candidate_keys and not self._fails_on_gained(run)):
                     self._try_place_run(run, gained, now)
+                self._placeable_tasks -= max(open_before - len(run.open), 0)
                 if len(run.open) != open_before:
                     gained.refresh_max_free()
+                    pool.machines_checked += len(gained.names) // REFRESHED_MACHINES_PER_CHECK
                     candidate_keys = self._candidate_keys(gained)
-            if pool.machines_checked >= max_machines_checked:
+            if pool.machines_checked >= max_machines_checked or self._placeable_tasks <= 0:
                 self._resume_after = order if gained.names else None
                 return False
         self._resume_after, self._gained = None, GainedMachines([])
@@ -222,7 +229,13 @@
                     MinDemand(spec.cpus, spec.gpus, spec.memory_gb)
                 )
             if machines:
-                self._place_tasks(run, machines, 1 if start_overdue else headroom, now, start_overdue=start_overdue)
+                max_tasks = 1 if start_overdue else min(headroom, self._placeable_tasks)
+                open_before = len(run.open)
+                self._place_tasks(run, machines, max_tasks, now, start_overdue=start_overdue)
+                if run.open and max_tasks < headroom and open_before - len(run.open) >= max_tasks:
+                    # The next call goes on with this run; it may be on the gained machines only for now.
+                    self._cluster_state.backlog.update(run, now, rescan=True)
+                    return
             if not run.open or self._cluster_state.team_headroom(run.spec) > 0:
                 # Otherwise the run waits for its team's limit, not for machines.
                 self._cluster_state.backlog.mark_scanned(run)
@@ -397,7 +410,7 @@
                 remaining -= 1
                 capacity -= 1
                 if zone_headroom is not None:
-                    zone_headroom = scoring.zone_headroom(spec, run.live)
+                    zone_headroom.take(machine.zone)
             if remaining <= 0 or not run.open:
                 break
         if start_overdue and run.placements:
--- a/gingerspar/coordination/placement/scoring.py
+++ b/gingerspar/coordination/placement/scoring.py
@@ -7,7 +7,7 @@
 
 from gingerspar.coordination.cluster.machine import Machine, Placement, cost_per_task, run_time, task_capacity
 from gingerspar.coordination.cluster.pool import Offer, allows
-from gingerspar.protocol.messages import JobSpec, MachineType, Priority
+from gingerspar.protocol.messages import MAX_TASKS, JobSpec, MachineType, Priority
 
 
 def leftover_score(machine: Machine, spec: JobSpec) -> float:
@@ -92,39 +92,47 @@
         return (score, machine.name)
 
 
-def zone_headroom(spec: JobSpec, placements: Iterable[Placement]) -> Mapping[str, int] | None:
-    """Number of tasks of the job that each zone may still take, also for zones that are not keys; None: no limit.
+class ZoneHeadroom(dict[str, int]):
+    """Number of tasks of a job that each zone may still take; ``default`` holds for zones that are not keys."""
 
-    ``placements`` are the job's tasks that are still on machines, of any attempt.
-    """
-    if not spec.one_zone and not spec.spread:
-        return None
-    used_by_zone = Counter(placement.machine.zone for placement in placements)
-    if spec.one_zone:
-        return _SingleZoneHeadroom(used_by_zone)
-    return _SpreadHeadroom((spec.tasks + 1) // 2, used_by_zone)
+    def __init__(self, headroom: Mapping[str, int], default: int) -> None:
+        super().__init__(headroom)
+        self._default = default
+
+    def __missing__(self, zone: str) -> int:
+        return self._default
+
+    def take(self, zone: str) -> None:
+        """Counts one more task in the zone."""
+        self[zone] -= 1
 
 
-class _SingleZoneHeadroom(dict[str, int]):
+class _SingleZoneHeadroom(ZoneHeadroom):
     """All tasks in one zone: the zone of the placed tasks, or any zone if there are none."""
 
     def __init__(self, used_by_zone: Counter[str]) -> None:
-        super().__init__({zone: (1_000_000 if len(used_by_zone) == 1 else 0) for zone in used_by_zone})
-        self._default = 0 if used_by_zone else 1_000_000
-
-    def __missing__(self, zone: str) -> int:
-        return self._default
+        only_zone = len(used_by_zone) == 1
+        super().__init__(
+            {zone: MAX_TASKS if only_zone else 0 for zone in used_by_zone}, 0 if used_by_zone else MAX_TASKS
+        )
 
+    def take(self, zone: str) -> None:
+        super().take(zone)
+        self._default = 0
 
-class _SpreadHeadroom(dict[str, int]):
-    """At most half of the tasks, rounded up, in each zone."""
 
-    def __init__(self, max_per_zone: int, used_by_zone: Counter[str]) -> None:
-        super().__init__({zone: max_per_zone - count for zone, count in used_by_zone.items()})
-        self._default = max_per_zone
+def zone_headroom(spec: JobSpec, placements: Iterable[Placement]) -> ZoneHeadroom | None:
+    """Number of tasks of the job that each zone may still take; None: no limit.
 
-    def __missing__(self, zone: str) -> int:
-        return self._default
+    ``placements`` are the job's tasks that are still on machines, of any attempt.
+    """
+    if not spec.one_zone and not spec.spread:
+        return None
+    used_by_zone = Counter(placement.machine.zone for placement in placements)
+    if spec.one_zone:
+        return _SingleZoneHeadroom(used_by_zone)
+    max_per_zone = (spec.tasks + 1) // 2
+    return ZoneHeadroom({zone: max_per_zone - count for zone, count in used_by_zone.items()}, max_per_zone)
 
 
 def ranked(machines: Sequence[Machine], scorer: Scorer) -> list[Machine]:
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -10,7 +10,7 @@
 
 from gingerspar.protocol.messages import Changes, Item, Items, JobStatus, parse_job
 from gingerspar.storage.client import Unavailable
-from gingerspar.storage.records import JobRecord, pack
+from gingerspar.storage.records import ChunkRecord, JobRecord, pack
 from gingerspar.storage.view import READ_RETRY_AFTER, Phase, WatchedView
 from gingerspar.transport.clock import Clock
 from tests.standins.cluster import job
@@ -101,6 +101,36 @@
     assert len({id(final.footprint) for final in view.final.values()}) == 1  # equal jobs share one description
 
 
+def _page_client(*pages: list[Item]) -> Any:
+    """A state service whose keys are read in these pages; its values may take 8 KiB."""
+    remaining = list(pages)
+
+    class PageClient:
+        value_bytes = 8 * 1024
+
+        async def page(self, prefix: str, since: str | None, limit: int) -> Items:
+            return Items(remaining.pop(0), 10, bool(remaining))
+
+    return PageClient()
+
+
+def test_chunks_of_ended_jobs_are_not_kept() -> None:
+    """Bitmaps of ended large arrays stay in the service; at each start, all of them were in memory at once."""
+    spec = parse_job(job(1, Pieces=100_000))
+    chunk = Item("gs/f/wk-000001/0000", msgspec.Raw(pack(ChunkRecord("/w=="))), 5)
+    late_chunk = Item("gs/f/wk-000001/0001", msgspec.Raw(pack(ChunkRecord("/w=="))), 6)
+    unfinished_chunk = Item("gs/f/wk-000002/0000", msgspec.Raw(pack(ChunkRecord("AQ=="))), 5)
+    ended = Item("gs/j/wk-000001", pack(JobRecord(spec, JobStatus.CANCELLED)), 7)
+    unfinished_spec = parse_job(job(2, Pieces=100_000))
+    unfinished = Item("gs/j/wk-000002", pack(JobRecord(unfinished_spec, JobStatus.RUNNING, spilled=True)), 5)
+    view = WatchedView(_page_client([chunk, unfinished_chunk], [ended, unfinished]), Clock(), rps=100, nodes=3)
+    asyncio.run(view._load())
+    assert set(view._chunks) == {"wk-000002"}
+    assert list(view.jobs["wk-000002"].finished) == [0]
+    view.apply(late_chunk.key, bytes(late_chunk.value), late_chunk.version)
+    assert set(view._chunks) == {"wk-000002"}
+
+
 def test_undecodable_bitmap_makes_only_its_job_unreadable() -> None:
     """Each read failed at such a record, so that no later change was applied."""
     service: Any = _Client()
