Limit the tasks of all machines together by the leader's memory

Change: the leader places at most as many tasks as take half of its memory at 1 KiB each (70,656 at 138 MB), ended ones included until their workers forget them; the last tenth is kept for urgent jobs. Rentals count with the same limit. Above it tasks wait although machines have room; a fleet with ordinary tasks has some 10,000.

--- a/bench/job_cost.py
+++ b/bench/job_cost.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from gingerspar.coordination.cluster.machine import Machine, MachineState
+from gingerspar.coordination.cluster.task_limit import max_tasks_on_machines
 from gingerspar.coordination.jobs.record_changes import claimed, with_results
 from gingerspar.coordination.leader.dispatcher import Dispatcher
 from gingerspar.coordination.machines import fleet
@@ -48,6 +49,7 @@
     MachineType("plain", 16, 64, cache_gb=60, zones=("a",), price=1.0, boot_s=20),
     MachineType("cards", 96, 384, gpus=8, cache_gb=80, zones=("a",), price=6.0, boot_s=25),
 ]
+MEMORY_MB = 138  # the smallest memory limit of any deployment
 CLAIMANT = Claimant("n1", 1)
 LOST_SHARE = 3  # one machine of this many is lost
 VERSION_STEP = 1_000_000  # versions of later records are above those of all loaded ones
@@ -127,7 +129,14 @@
     def take_term(self) -> None:
         """Creates the dispatcher of a new term and gives it all records."""
         workers = WorkerFacts(report_s=2.5, lease_s=18, cancel_s=43)
-        self.leader = Dispatcher(1, timedelta(0), workers, [TeamFacts("red")], nodes=3)
+        self.leader = Dispatcher(
+            1,
+            timedelta(0),
+            workers,
+            [TeamFacts("red")],
+            nodes=3,
+            max_tasks_on_machines=max_tasks_on_machines(MEMORY_MB),
+        )
         self.leader.set_types(MACHINE_TYPES)
         self.view.on_job.append(self._record_changed)
         for job in self.view.jobs:
--- a/gingerspar/coordination/cluster/cluster_state.py
+++ b/gingerspar/coordination/cluster/cluster_state.py
@@ -32,6 +32,7 @@
     START_TARGET,
     LargestJobs,
 )
+from gingerspar.coordination.cluster.task_limit import TaskLimit
 from gingerspar.protocol.messages import JobSpec, MachineType, Priority
 from gingerspar.protocol.settings import Objective, TeamFacts
 from gingerspar.storage.records import Order
@@ -70,8 +71,15 @@
 class ClusterState:
     """The machines, job runs and resource usage of one term."""
 
-    def __init__(self, term: int, teams: Iterable[TeamFacts], objectives: Iterable[Objective] = ()) -> None:
+    def __init__(
+        self,
+        term: int,
+        teams: Iterable[TeamFacts],
+        objectives: Iterable[Objective] = (),
+        max_tasks_on_machines: int | None = None,
+    ) -> None:
         self.term = term
+        self._task_limit = TaskLimit(max_tasks_on_machines)
         objectives = list(objectives)
         self._job_order = JobOrder(objectives)
         # By class: shortest and longest completion objective.
@@ -179,6 +187,7 @@
         """Adds a placement; the caller updates the run in the backlog after the last one."""
         placement.machine.add_placement(placement)
         run.placements.setdefault(placement.number, []).append(placement)
+        self._task_limit.live_tasks += 1
         run.open.discard(placement.number)
         run.running += placement.state in _RUNNING_STATES
         run.has_started = run.has_started or placement.running_since is not None
@@ -191,6 +200,7 @@
         """Removes a placement that has ended, and opens its task again if that is not finished."""
         if placement.running_since is not None:
             self.expected_releases.task_removed(placement)
+        self._task_limit.live_tasks -= 1
         run = self.runs[placement.job]
         placements = run.placements[placement.number]
         placements.remove(placement)
@@ -507,6 +517,14 @@
             headroom = min(headroom, int((team.gpus_max - gpus) / spec.gpus + 1e-9))
         return max(headroom, 0)
 
+    def count_ended_tasks(self) -> None:
+        """Counts the ended tasks that machines still list; to be called before ``task_headroom`` is used."""
+        self._task_limit.ended_tasks = sum(len(machine.exited_placements) for machine in self.pool)
+
+    def task_headroom(self, spec: JobSpec) -> int:
+        """Returns how many more tasks of the job this process can keep track of on machines."""
+        return self._task_limit.headroom(spec.priority)
+
     def team_shortfall(self, spec: JobSpec) -> tuple[float, float]:
         """Returns the processors and accelerators that the team's limit lacks to run all tasks of a job at once."""
         team = self.teams[spec.team]
--- a/gingerspar/coordination/leader/dispatcher.py
+++ b/gingerspar/coordination/leader/dispatcher.py
@@ -81,11 +81,12 @@
         utc_now: Callable[[], datetime] | None = None,
         roster: Iterable[tuple[str, str, str, bool]] = (),
         nodes: int = 1,
+        max_tasks_on_machines: int | None = None,
     ) -> None:
         self.term = term
         self._nodes = nodes
         self.raised_at = raised_at
-        self.cluster_state = ClusterState(term, teams, objectives)
+        self.cluster_state = ClusterState(term, teams, objectives, max_tasks_on_machines)
         self._utc_now = utc_now
         self.pool = self.cluster_state.pool
         self.runs = self.cluster_state.runs
--- a/gingerspar/coordination/leader/term_manager.py
+++ b/gingerspar/coordination/leader/term_manager.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from gingerspar.coordination.cluster.task_limit import max_tasks_on_machines
 from gingerspar.coordination.leader.dispatcher import Dispatcher
 from gingerspar.coordination.leader.leader_runtime import LeaderRuntime
 from gingerspar.coordination.leader.load_monitor import LoadMonitor
@@ -340,6 +341,7 @@
             utc_now=self._clock.utc_now,
             roster=roster,
             nodes=self._facts.size,
+            max_tasks_on_machines=max_tasks_on_machines(self._facts.machine_limits.memory_mb),
         )
         self.runtime = runtime = self._make_runtime(dispatcher)
         self._own_term = term_number
--- a/gingerspar/coordination/machines/fleet.py
+++ b/gingerspar/coordination/machines/fleet.py
@@ -203,6 +203,8 @@
             if refusals.is_open((machine_type.name, zone, spot), now)
         }
         self._planned_usage: dict[str, Usage] = {}  # by team: the part of its limit planned for earlier jobs
+        self._planned_tasks = 0
+        cluster_state.count_ended_tasks()
         self._expected: ExpectedCapacity | None = None
         self._bins: dict[Offer, MachineBins] = {}
         for machine in cluster_state.pool.in_states(MachineState.BOOTING):
@@ -218,13 +220,18 @@
     def add_run(self, run: JobRun) -> None:
         spec = run.spec
         planned_usage = self._planned_usage.setdefault(spec.team, Usage())
-        left = min(len(run.open), self._cluster_state.team_headroom(spec, planned_usage))
+        left = min(
+            len(run.open),
+            self._cluster_state.team_headroom(spec, planned_usage),
+            max(self._cluster_state.task_headroom(spec) - self._planned_tasks, 0),
+        )
         if run.is_gang and left < len(run.open):
-            return  # the whole gang waits until its team's limit allows all its tasks
+            return  # the whole gang waits until the limits allow all its tasks
         planned_usage.add(spec, left)
+        self._planned_tasks += left
         options = self._cluster_state.machine_options(spec)
         if spec.one_zone and run.placements:
-            zone = run.live[0].machine.zone
+            zone = next(iter(run.placements.values()))[0].machine.zone
             options = [option for option in options if option.offer[1] == zone]
         if spec.spread:
             self._add_spread_tasks(run, left, options)
--- a/gingerspar/coordination/placement/placer.py
+++ b/gingerspar/coordination/placement/placer.py
@@ -123,6 +123,8 @@
         self._machines_by_key, self._failed_demands = {}, {}
         self._limit_reservations.start_pass()
         max_machines_checked = pool.machines_checked + MAX_MACHINE_CHECKS
+        self._placeable_tasks = MAX_PLACED_TASKS
+        cluster_state.count_ended_tasks()
         gained.refresh_max_free()
         candidate_keys = self._candidate_keys(gained)
         reserving_jobs = {job for name in gained.names for job in cluster_state.jobs_with_reservations.get(name, ())}
@@ -200,7 +202,10 @@
 
     def _place_run(self, run: JobRun, gained: GainedMachines | None, now: timedelta) -> None:
         """Places as many tasks as possible, on the gained machines only, or on any machine if ``gained`` is None."""
-        headroom = self._cluster_state.team_headroom(run.spec)
+        task_headroom = self._cluster_state.task_headroom(run.spec)
+        if task_headroom < (run.spec.tasks if run.is_gang else 1):
+            return  # its scan state stays: the run waits for tasks of any job to end
+        headroom = min(self._cluster_state.team_headroom(run.spec), task_headroom)
         if headroom < (run.spec.tasks if run.is_gang else 1):
             self._limit_reservations.record_refusal(run)
             if run.is_gang:
--- a/tests/test_many_tasks.py
+++ b/tests/test_many_tasks.py
@@ -4,20 +4,27 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+import pytest
+
 from gingerspar.controller import PEER_CONTACT_LOST_AFTER
 from gingerspar.coordination.cluster.job_runs import GangState
 from gingerspar.coordination.cluster.machine import MAX_TASKS_PER_MACHINE, Machine, MachineState
+from gingerspar.coordination.cluster.task_limit import ROUTINE_SHARE, max_tasks_on_machines
+from gingerspar.coordination.leader.dispatcher import Dispatcher
+from gingerspar.coordination.machines import fleet as fleet_planning
 from gingerspar.coordination.placement.placer import MAX_PLACED_TASKS
 from gingerspar.protocol.messages import (
     MAX_TASKS,
     Cause,
     JobSpec,
     JobStatus,
+    MachineType,
     Priority,
     Shape,
     TaskReport,
     TaskStatus,
 )
+from gingerspar.protocol.settings import TeamFacts, WorkerFacts
 from gingerspar.storage.records import Claimant, JobRecord
 from gingerspar.storage.task_set import TaskSet
 from tests.test_scale import Fleet
@@ -30,8 +37,9 @@
 class SmallTaskFleet(Fleet):
     """A leader with machines on which ``MAX_TASKS_PER_MACHINE`` tasks fit; measures the longest of its steps."""
 
-    def __init__(self, machines: int) -> None:
+    def __init__(self, machines: int, max_tasks_on_machines: int | None = None) -> None:
         super().__init__(machines)
+        self.dispatcher.cluster_state._task_limit.max_tasks = max_tasks_on_machines
         self.longest_step_s = 0.0
 
     def add_small_tasks(
@@ -183,3 +191,46 @@
         fleet.report(machine, TaskStatus.RUNNING)
     fleet.report(machines[-1], TaskStatus.EXITED, Cause.ERROR)
     assert fleet.dispatcher.runs[JOB].has_succeeded
+
+
+# -- limit on the tasks of all machines ---------------------------------------------------------------------------
+
+TASK_LIMIT = 2000
+
+
+def test_tasks_of_all_machines_stay_within_the_limit() -> None:
+    """A few arrays of very small tasks on a full fleet took every new leader over its memory limit."""
+    fleet = SmallTaskFleet(10, TASK_LIMIT)
+    fleet.add_small_tasks(MAX_TASKS)
+    fleet.place_all()
+    assert fleet.task_count() == TASK_LIMIT * ROUTINE_SHARE
+    fleet.add_small_tasks(3, Shape.GANG, 2, Priority.HIGH)
+    fleet.place_all()
+    assert len(fleet.dispatcher.runs["wk-000002"].placements) == 3  # urgent work starts at the routine limit
+    # Machines whose tasks could not be placed would stay idle.
+    plan = fleet_planning.plan_rentals(fleet.dispatcher.cluster_state, fleet_planning.Refusals(), fleet.now)
+    assert plan == {}
+    # Ended tasks count until their worker has been told to forget them.
+    machine = next(machine for machine in fleet.start_all() if len(machine.live) == MAX_TASKS_PER_MACHINE)
+    fleet.report(machine, TaskStatus.EXITED, Cause.DONE)
+    before = fleet.task_count()
+    fleet.place_all()
+    assert fleet.task_count() == before
+    fleet.record_results()
+    fleet.report(machine, TaskStatus.EXITED, Cause.DONE)
+    fleet.report_tasks(machine, [])
+    fleet.place_all()
+    assert fleet.task_count() == TASK_LIMIT * ROUTINE_SHARE
+
+
+@pytest.mark.parametrize(("memory_mb", "expected"), [(0.0, None), (138.0, 70_656)])
+def test_limit_follows_from_the_memory(memory_mb: float, expected: int | None) -> None:
+    assert max_tasks_on_machines(memory_mb) == expected
+
+
+def test_dispatcher_limits_tasks() -> None:
+    workers = WorkerFacts(report_s=2.5, lease_s=18, cancel_s=43)
+    limited = Dispatcher(1, timedelta(0), workers, [TeamFacts("red")], max_tasks_on_machines=10)
+    limited.set_types([MachineType("box", 16, 64, zones=("a",), price=1.0)])
+    spec = JobSpec(JOB, "c", "red", Shape.ARRAY, Priority.NORMAL, 50, 1.0, 1.0)
+    assert limited.cluster_state.task_headroom(spec) == 9
