Forget an attempt only when no copy of the answer that started it can be carried out any more

Cause: `run` travels in the answers to reports only, and a worker carries out an answer until 4 s after its report. A task that ended within these 4 s was forgotten with the next answer, so that a copy of the first one started the attempt again.

Change: `forget` waits until 4 s after the answer that carried `run`; until then the worker ignores a repeated `run`.

--- a/gingerspar/coordination/cluster/machine.py
+++ b/gingerspar/coordination/cluster/machine.py
@@ -255,6 +255,8 @@
     used: Usage = field(default_factory=Usage)  # by all live placements
     # ``used`` by priority rank.
     usage_by_priority: list[Usage] = field(default_factory=lambda: _empty_usage_by_priority())
+    # When `run` was last sent, by job, number and attempt; only while a copy of the answer may still be carried out.
+    run_sent_at: dict[tuple[str, int, int], timedelta] = field(default_factory=dict)
     images: dict[str, float] = field(default_factory=dict)  # cached images: GB by name, least recently used first
     idle_since: timedelta | None = None
     # Failed tasks by job since a task last succeeded here.
@@ -323,6 +325,11 @@
                 self.idle_since = None
             self.on_change(self, True)
 
+    def forget_runs_sent_before(self, time: timedelta) -> None:
+        """Drops the entries of ``run_sent_at`` that are older."""
+        if self.run_sent_at:
+            self.run_sent_at = {key: sent_at for key, sent_at in self.run_sent_at.items() if sent_at >= time}
+
     def reserve(self, spec: JobSpec, count: int) -> None:
         """Reserves capacity for a number of tasks of the job; a negative count releases it."""
         self.reserved.add(spec, count)
--- a/gingerspar/coordination/leader/dispatcher.py
+++ b/gingerspar/coordination/leader/dispatcher.py
@@ -55,6 +55,9 @@
 MAX_COMPARED_TASKS = 100
 # A job is faulty if it failed on this many machines and succeeded on none.
 FAULTY_JOB_MIN_MACHINES = 3
+# Workers drop an answer that arrives later than 4 s after they have sent the report, by their clock. Until then a copy
+# of the answer may start its tasks once more, unless the worker still knows their attempts.
+ANSWER_VALID_FOR = timedelta(seconds=4) * (1 + 4 * MAX_CLOCK_DRIFT)
 # An answer has to stay below 64 KiB; the longest command takes about 75 bytes.
 MAX_COMMANDS_PER_ANSWER = 800
 
@@ -502,9 +505,12 @@
         stopping = [p for p in machine.live.values() if p.stop_grace is not None and p.state is not TaskState.PLANNED]
         stopping_ended_jobs = [placement for placement in stopping if self.runs[placement.job].ended]
         commands = [self._stop_with_answer(placement) for placement in stopping_ended_jobs[:MAX_COMMANDS_PER_ANSWER]]
+        machine.forget_runs_sent_before(now - ANSWER_VALID_FOR)
         for (job, number, attempt), cause in machine.exited_placements.items():
             run = self.runs.get(job)
             keep = cause is Cause.DONE and run is not None and not run.ended and number in run.unrecorded
+            if (job, number, attempt) in machine.run_sent_at:
+                continue  # a copy of the answer that carried `run` would start the forgotten attempt again
             if not keep and len(commands) < MAX_COMMANDS_PER_ANSWER:
                 commands.append(Command(Verb.FORGET, f"{job}/{number}", attempt))
         for placement in list(machine.live.values()):
@@ -513,6 +519,7 @@
             if placement.state is TaskState.PLANNED:
                 self.cluster_state.move_task(placement, TaskState.SENT, now)
                 placement.sent_in_answer_to = (report.session, report.seq)
+                machine.run_sent_at[(placement.job, placement.number, placement.attempt)] = now
                 machine.last_task_list = None  # the next report shows whether it arrived
                 log.debug("run %s attempt %d on %s", placement.name, placement.attempt, machine.name)
                 commands.append(Command(Verb.RUN, placement.name, placement.attempt))
@@ -625,6 +632,7 @@
         machine.min_session = machine.session + 1
         machine.token_sent_at = None
         machine.exited_placements, machine.ended_placements = {}, {}
+        machine.run_sent_at.clear()
         machine.last_task_list = None
         self.cluster_state.clear_machine(machine, now)
         self.needs_placement = True
