Controllers that start together share the request limit, and a refused page is read again

Cause: a peer that had not read the state service yet counted as one that it does not answer, so that each starting controller took the whole share of requests for itself; and each refused page began the load anew.

Change: a peer that has not read since its start needs its share; a load goes on with the page that was refused.

--- a/gingerspar/controller.py
+++ b/gingerspar/controller.py
@@ -380,7 +380,7 @@
                         self._node,
                         self._view.term[0].term if self._view.term is not None else 0,
                         self._term_manager.is_dispatching(),
-                        min(self._view.age().total_seconds(), 1e6),
+                        min(self._view.age().total_seconds(), peers.NEVER_READ_S),
                         self._recent_workers(),
                         [node for node in self._peer_status if self._receives_from(node)],
                         # A node that can't write now leaves its share to the nodes that can.
@@ -409,7 +409,9 @@
     def _share_writes(self) -> None:
         """Splits the write and request limits of the state service among the nodes that can use them.
 
-        A silent peer is assumed to need an even share, a peer without the state service none.
+        A silent peer is assumed to need an even share, a peer without the state service none. A peer that has not read
+        it yet is reading all keys and needs its share of the requests: when all controllers began at once, each counted
+        the others as without the service, and together they sent more than it takes, for good (review/4).
         kerlann-fonts-fleet loss: the one controller of five that still had the state service claimed all jobs
         again at the rate that was left beside four shares that no other controller could use.
         """
@@ -420,7 +422,8 @@
             peer_status.write_demand for peer_status in live_peers if peer_status.state_age < STATE_LOST_AFTER
         ]
         self._client.share_writes(write_demands + [even_share] * silent_count)
-        self._client.share_requests(1 + len(write_demands) + silent_count)
+        loading_count = sum(not peer_status.has_read for peer_status in live_peers)
+        self._client.share_requests(1 + len(write_demands) + silent_count + loading_count)
 
     def _receive(self, data: bytes) -> None:
         try:
@@ -440,6 +443,7 @@
                     tuple(message.heard),
                     None if message.up_s is None else self._clock.now() - timedelta(seconds=message.up_s),
                     message.reaches,
+                    message.has_read,
                 )
                 self._wake_held_reports()
             case peers.Counts():
--- a/gingerspar/coordination/membership/term.py
+++ b/gingerspar/coordination/membership/term.py
@@ -80,6 +80,7 @@
     receives_from: tuple[str, ...] = ()
     process_started: timedelta | None = None  # when the peer's process started, on this node's steady clock
     reaches_workers: bool | None = None  # None if the peer does not know
+    has_read: bool = True  # whether it has read the state service since its start
 
 
 @dataclass(slots=True)
--- a/gingerspar/protocol/peers.py
+++ b/gingerspar/protocol/peers.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+NEVER_READ_S = 1e6  # maximum of ``Heartbeat.state_age_s``
+
 
 class Heartbeat(msgspec.Struct, tag="heartbeat"):
     """Status of a node, sent several times per second."""
@@ -15,7 +17,8 @@
     node: str
     term: int
     dispatching: bool  # whether it commands the machines
-    state_age_s: float  # time since it sent its last successful read of the state service
+    # Time since it sent its last successful read of the state service; ``NEVER_READ_S`` if there was none.
+    state_age_s: float
     workers: int  # number of workers that reported to it within the last few seconds
     heard: list[str] = []  # nodes from which it has received heartbeats recently
     writes: float = 0.0  # changes per second that it requests to write to the state service
@@ -26,6 +29,11 @@
     def state_age(self) -> timedelta:
         return timedelta(seconds=self.state_age_s)
 
+    @property
+    def has_read(self) -> bool:
+        """Whether it has read the state service since its start; until then it reads all keys."""
+        return self.state_age_s < NEVER_READ_S
+
 
 class Counts(msgspec.Struct, tag="counts"):
     """Sent by the leader: running tasks for status answers to users, and addresses of some workers for probes."""
--- a/gingerspar/storage/view.py
+++ b/gingerspar/storage/view.py
@@ -85,6 +85,18 @@
         self.versions: dict[int, int] = {}  # by chunk
 
 
+class _PartialLoad:
+    """What has been read of all keys so far."""
+
+    __slots__ = ("items", "key_count", "revision", "since")
+
+    def __init__(self) -> None:
+        self.revision: int | None = None  # of the first page
+        self.since: str | None = None  # the last key of the last page
+        self.key_count = 0
+        self.items: list[Item] = []  # those that are applied after the last page
+
+
 class WatchedView:
     """The decoded values of all keys under ``records.PREFIX``, with their versions, on which writes are conditional.
 
@@ -116,6 +128,7 @@
         self._tombstones: dict[str, int] = {}  # by key: version of an own deletion until the changes read include it
         self._chunks: dict[str, _ChunkedBitmap] = {}  # by job; only of unfinished ones
         self._footprints: dict[Footprint, Footprint] = {}  # one shared object for all equal footprints
+        self._partial_load = _PartialLoad()
         self._read_requested = asyncio.Event()
         self._barriers: list[asyncio.Future[None]] = []
         self._shared_barrier: asyncio.Future[None] | None = None  # returned by ``next_read``, also in ``_barriers``
@@ -249,20 +262,26 @@
         Records of ended jobs are applied with each page: there are far more of them than of all others, and they no
         longer change. So are chunks of bitmaps, which stay in the service when their jobs have ended and precede the
         job records. All other keys are applied together, after the last page.
+
+        Raises ``Unavailable`` or ``OutcomeUnknown`` if a page is not read; the next call goes on with the same page. If
+        each began with the first page, a node whose pages are refused at times would never finish (review/4).
         """
-        revision: int | None = None
-        since: str | None = None
-        key_count = 0
-        items: list[Item] = []
+        load = self._partial_load
         while True:
-            page = await self._client.page(records.PREFIX, since, 1000)
-            if revision is None:
-                revision = page.revision
-            key_count += len(page.items)
-            items += [item for item in page.items if not self._apply_while_loading(item)]
+            page = await self._client.page(records.PREFIX, load.since, 1000)
+            if load.revision is None:
+                load.revision = page.revision
+            load.key_count += len(page.items)
+            load.items += [item for item in page.items if not self._apply_while_loading(item)]
             if not page.more or not page.items:
                 break
-            since = page.items[-1].key
+            load.since = page.items[-1].key
+        self._partial_load = _PartialLoad()
+        self._finish_load(load.items, load.revision)
+        log.info("view: loaded %d keys at revision %d", load.key_count, load.revision)
+
+    def _finish_load(self, items: list[Item], revision: int) -> None:
+        """Applies the keys that are left after the last page; changes are read from ``revision`` on."""
         found = {item.key for item in items}
         for key, version in self._known_versions():
             if key not in found and version <= revision:
@@ -271,7 +290,6 @@
             self.apply(item.key, bytes(item.value), item.version)
         self.revision = revision
         self.phase = Phase.FOLLOWING
-        log.info("view: loaded %d keys at revision %d", key_count, revision)
 
     def _apply_while_loading(self, item: Item) -> bool:
         """Applies a chunk of a bitmap or the record of an ended job; returns False for any other key."""
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -106,3 +106,13 @@
     # The stand-in allows 100 changes and 200 requests per second; 45% of the requests are not for the view's reads.
     assert rates(state_age=0.1) == (17, 30)
     assert rates(state_age=9.0) == (95, 90)
+
+
+def test_nodes_that_load_all_keys_share_the_request_limit() -> None:
+    """After a crash of all controllers each took the others for nodes without the service (review/4)."""
+    controller = Controller(parse_settings(Cluster().settings("n0")), OperatorSettings())
+    never_read = min(controller._view.age().total_seconds(), peers.NEVER_READ_S)  # as in the heartbeat of such a node
+    for peer in ("n1", "n2"):
+        controller._receive(peers.pack(peers.Heartbeat(peer, 1, False, never_read, 0, writes=0.0)))
+    controller._share_writes()
+    assert round(controller._client._requests.rate) == 30
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -131,6 +131,32 @@
     assert set(view._chunks) == {"wk-000002"}
 
 
+def test_load_goes_on_with_the_page_that_was_refused() -> None:
+    """Each refused page began the load anew: after a crash of all controllers none finished loading (review/4)."""
+    requested: list[str | None] = []
+
+    class RefusingClient:
+        value_bytes = 8 * 1024
+
+        async def page(self, prefix: str, since: str | None, limit: int) -> Items:
+            requested.append(since)
+            if len(requested) % 2:  # every other request is refused
+                raise Unavailable("429")
+            number = len(requested) // 2
+            record = JobRecord(parse_job(job(number)), JobStatus.PENDING)
+            return Items([Item(f"gs/j/wk-{number:06d}", pack(record), number)], 10 + number, more=number < 5)
+
+    client: Any = RefusingClient()
+    view = WatchedView(client, Clock(), rps=100, nodes=3)
+    for _ in range(5):
+        with pytest.raises(Unavailable):
+            asyncio.run(view._load())
+    asyncio.run(view._load())
+    assert len(requested) == 10
+    assert set(view.jobs) == {f"wk-{number:06d}" for number in range(1, 6)}
+    assert (view.phase, view.revision) == (Phase.FOLLOWING, 11)  # changes are read from the first page's revision on
+
+
 def test_undecodable_bitmap_makes_only_its_job_unreadable() -> None:
     """Each read failed at such a record, so that no later change was applied."""
     service: Any = _Client()
