Release a reservation that its job can't use within its team's limit

Cause: reservations time out only where a gang is placed, which is not reached while the limit is in use.

Change: with each scan of all waiting jobs, reservations of jobs that do not wait or exceed their limit are released.

--- a/gingerspar/coordination/placement/gang_reservation.py
+++ b/gingerspar/coordination/placement/gang_reservation.py
@@ -82,6 +82,19 @@
     def _waited_long_enough(run: JobRun, now: timedelta) -> bool:
         return run.waiting_since is not None and now - run.waiting_since >= RESERVATION_DELAY
 
+    def release_unusable(self) -> None:
+        """Releases reservations of jobs that can't use them now; to be called periodically.
+
+        A reservation times out only when its job is placed. A job that no longer waits, or that its team's limit does
+        not let start, is not: the machine stayed reserved, and idle, for as long as the limit was in use (review/7).
+        """
+        cluster_state = self._cluster_state
+        jobs = {job for jobs in cluster_state.jobs_with_reservations.values() for job in jobs}
+        for run in [cluster_state.runs[job] for job in jobs]:
+            needed = run.spec.tasks if run.is_gang else 1
+            if run.order not in cluster_state.backlog.waiting or cluster_state.team_headroom(run.spec) < needed:
+                cluster_state.release_reservation(run)
+
     def reserve(self, run: JobRun, now: timedelta) -> None:
         """Reserves capacity for the gang and preempts lower-priority tasks if the gang then fits.
 
--- a/gingerspar/coordination/placement/placer.py
+++ b/gingerspar/coordination/placement/placer.py
@@ -114,6 +114,7 @@
             cluster_state.update_service_levels(now)
             self._reorder_backlog(now)
             cluster_state.update_first_overdue_gang(now)
+            self._gang_reservations.release_unusable()
             backlog.rescan_all()
         if self._resume_after is None:
             self._gained = GainedMachines(pool.pop_gained())
