Compare prices with the machine types that a job's zone has

Cause: a type counted as expensive if any type of the catalog was cheaper, also one that the zone does not have.

Change: only types of the job's zone count. The words of the traces have zones of machine types and jobs.

--- a/gingerspar/coordination/cluster/cluster_state.py
+++ b/gingerspar/coordination/cluster/cluster_state.py
@@ -430,18 +430,19 @@
     def is_expensive(self, machine_type: MachineType, spot: bool, spec: JobSpec) -> bool:
         """Returns whether a machine costs far more per task than another ordinary type; spot machines never do.
 
-        "Far more" is a price ratio above ``EXPENSIVE_PRICE_RATIO``.
+        "Far more" is a price ratio above ``EXPENSIVE_PRICE_RATIO``. Only types count that the job may use in its zone:
+        a late job waited for good for cheaper machines that its zone does not have (review/8).
         """
         if spot:
             return False
-        key = (spec.cpus, spec.gpus, spec.memory_gb, spec.types)
+        key = (spec.cpus, spec.gpus, spec.memory_gb, spec.types, spec.zone)
         if key not in self._lowest_task_cost:
             if len(self._lowest_task_cost) >= MAX_CACHED_TASK_KINDS:
                 self._lowest_task_cost.clear()
             costs = [
                 cost_per_task(other, False, spec)
                 for other in self.types.values()
-                if spec.types is None or other.name in spec.types
+                if (spec.types is None or other.name in spec.types) and (spec.zone is None or spec.zone in other.zones)
             ]
             self._lowest_task_cost[key] = min(costs, default=0.0)
         return cost_per_task(machine_type, False, spec) > EXPENSIVE_PRICE_RATIO * self._lowest_task_cost[key]
--- a/tests/tracing.py
+++ b/tests/tracing.py
@@ -93,7 +93,7 @@
         self._term([str(self.dispatcher.term)])
 
     def _type(self, words: list[str]) -> None:
-        """Adds a machine type: ``type gpu cpus=24 memory=144 gpus=2 price=6 boot=20``."""
+        """Adds a machine type: ``type gpu cpus=24 memory=144 gpus=2 price=6 boot=20 zones=a,b``."""
         options = _fields(words[1:])
         self.types.append(
             MachineType(
@@ -101,7 +101,7 @@
                 float(options["cpus"]),
                 float(options["memory"]),
                 gpus=float(options.get("gpus", 0)),
-                zones=("a", "b"),
+                zones=tuple(options.get("zones", "a,b").split(",")),
                 cache_gb=60,
                 price=float(options.get("price", 1)),
                 boot_s=float(options.get("boot", 20)),
@@ -141,6 +141,7 @@
             image_gb=float(options.get("image_gb", 1)),
             due_s=float(options["due"]) if "due" in options else None,
             estimate_s=float(options.get("estimate", 0)),
+            zone=options.get("zone"),
             one_zone=options.get("one_zone") == "yes",
             spread=options.get("spread") == "yes",
             spot=options.get("spot") == "yes",
