Keep no processors beside accelerators from a job that may use no other machines

Cause: the rule that spares such processors did not look at the types and the zone that the job allows, and was applied twice, once without any exception. Change: it holds for jobs that may use other machines as well.

Evidence: traces/accelerators_not_kept_from_their_only_job failed before.

--- a/gingerspar/coordination/placement/placer.py
+++ b/gingerspar/coordination/placement/placer.py
@@ -259,8 +259,13 @@
         )
 
     def _must_spare_accelerators(self, spec: JobSpec) -> bool:
-        """Whether the job must not use processors that free accelerators need: routine jobs without accelerators."""
-        return not spec.gpus and spec.priority.rank > Priority.HIGH.rank and bool(self._cluster_state.accelerator_specs)
+        """Whether the job must not use processors that free accelerators need.
+
+        True for routine jobs without accelerators that may use machines without accelerators as well.
+        """
+        if spec.gpus or spec.priority.rank <= Priority.HIGH.rank or not self._cluster_state.accelerator_specs:
+            return False
+        return any(not option.machine_type.gpus for option in self._cluster_state.machine_options(spec))
 
     # -- machines for a run ---------------------------------------------------
 
@@ -438,15 +443,7 @@
         return prolongs
 
     def _filter_sparing_accelerators(self, spec: JobSpec, machines: list[Machine]) -> list[Machine]:
-        """Excludes machines where a task would take processors that free accelerators need.
-
-        Excludes none if no machine type without accelerators can run the job at all.
-        """
-        if not any(
-            not machine_type.gpus and scoring.task_capacity(machine_type, spec)
-            for machine_type in self._cluster_state.types.values()
-        ):
-            return machines
+        """Excludes machines where a task would take processors that free accelerators need."""
         return [machine for machine in machines if self._leaves_accelerators_usable(spec, machine)]
 
     def _leaves_accelerators_usable(self, spec: JobSpec, machine: Machine) -> bool:
--- a/tests/tracing.py
+++ b/tests/tracing.py
@@ -141,6 +141,7 @@
             image_gb=float(options.get("image_gb", 1)),
             due_s=float(options["due"]) if "due" in options else None,
             estimate_s=float(options.get("estimate", 0)),
+            types=tuple(options["types"].split(",")) if "types" in options else None,
             zone=options.get("zone"),
             one_zone=options.get("one_zone") == "yes",
             spread=options.get("spread") == "yes",
