--- a/gingerspar/coordination/placement/placer.py
+++ b/gingerspar/coordination/placement/placer.py
@@ -238,8 +238,8 @@
                 max_tasks = 1 if start_overdue else min(headroom, self._placeable_tasks)
                 open_before = len(run.open)
                 self._place_tasks(run, machines, max_tasks, now, start_overdue=start_overdue)
-                if run.open and max_tasks < headroom and open_before - len(run.open) >= max_tasks:
-                    # The next call goes on with this run; it may be on the gained machines only for now.
+                if run.open and open_before - len(run.open) >= self._placeable_tasks:
+                    # The next call goes on with this run, and compares it with all machines.
                     self._cluster_state.backlog.update(run, now, rescan=True)
                     return
             if not run.open or self._cluster_state.team_headroom(run.spec) > 0:
