--- a/gingerspar/storage/view.py
+++ b/gingerspar/storage/view.py
@@ -272,7 +272,10 @@
             if load.revision is None:
                 load.revision = page.revision
             load.key_count += len(page.items)
-            load.items += [item for item in page.items if not self._apply_while_loading(item)]
+            for item in page.items:
+                if not self._apply_while_loading(item):
+                    # A copy: the value refers to the whole page, which would stay in memory with it.
+                    load.items.append(Item(item.key, item.value.copy(), item.version))
             if not page.more or not page.items:
                 break
             load.since = page.items[-1].key
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -1,6 +1,7 @@
 """The watched view: late and lost reads, undecodable records, and what it remembers of ended jobs."""
 
 import asyncio
+import tracemalloc
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
@@ -8,7 +9,7 @@
 import msgspec
 import pytest
 
-from gingerspar.protocol.messages import Changes, Item, Items, JobStatus, parse_job
+from gingerspar.protocol.messages import Changes, Item, Items, JobStatus, decode, encode, parse_job
 from gingerspar.storage.client import Unavailable
 from gingerspar.storage.records import ChunkRecord, JobRecord, pack
 from gingerspar.storage.view import READ_RETRY_AFTER, Phase, WatchedView
@@ -131,6 +132,40 @@
     assert set(view._chunks) == {"wk-000002"}
 
 
+def test_load_keeps_no_pages_of_ended_jobs() -> None:
+    """A page stayed in memory for each unfinished job on it: 27 MB with 100,000 ended jobs and 100 unfinished ones."""
+    pages, page_bytes = 30, [0]
+    types = [f"{number:0100d}" for number in range(20)]  # what stays of an ended job is small beside its record
+
+    class PageClient:
+        value_bytes = 8 * 1024
+        read_count = 0
+
+        async def page(self, prefix: str, since: str | None, limit: int) -> Items:
+            first = self.read_count * 200
+            self.read_count += 1
+            statuses = [JobStatus.PENDING, *[JobStatus.DONE] * 199]
+            items = [
+                Item(f"gs/j/wk-{number:06d}", pack(JobRecord(parse_job(job(number, Builds=types)), status)), 1)
+                for number, status in enumerate(statuses, first)
+            ]
+            body = encode(Items(items, 1, self.read_count < pages))
+            page_bytes[0] = len(body)
+            return decode(Items, body)
+
+    client: Any = PageClient()
+    view = WatchedView(client, Clock(), rps=100, nodes=3)
+    held_bytes = []
+    view.on_job.append(lambda changed: held_bytes.append(tracemalloc.get_traced_memory()[0]))
+    tracemalloc.start()
+    try:
+        asyncio.run(view._load())
+    finally:
+        tracemalloc.stop()
+    assert len(view.jobs) == pages
+    assert max(held_bytes) - held_bytes[0] < pages * page_bytes[0] / 2
+
+
 def test_load_goes_on_with_the_page_that_was_refused() -> None:
     """Each refused page began the load anew: after a crash of all controllers none finished loading (review/4)."""
     requested: list[str | None] = []
